--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -59,7 +59,7 @@
 // commands lists every command in the order of the help text.
 func commands(c console) []subcommands.Command {
 	return []subcommands.Command{
-		newDev(c), newEntry(c), newCheck(c),
+		newDev(c), newEntry(c), newPlatform(c), newCheck(c),
 		newQuery(c), newSend(c), newAddresses(c),
 		newSettings(c), newStatus(c), newMembers(c), newDrain(c), newLoad(c),
 	}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -86,7 +86,7 @@
 		Peer:          model.Address(r.address("peerAddress")),
 		Platform:      r.url("platform"),
 		LogLevel:      r.word("logLevel", "info", "trace", "debug", "info", "warn", "error"),
-		Lanes:         r.number("lanes", defaultLanes, 1, maxLanes),
+		Lanes:         r.number("lanes", defaultLanes, maxLanes),
 	}
 	for _, a := range r.addresses("seeds", maxSeeds) {
 		s.Seeds = append(s.Seeds, model.Address(a))
--- a/internal/conf/reader.go
+++ b/internal/conf/reader.go
@@ -210,10 +210,11 @@
 	return s
 }
 
-func (r *reader) number(key string, byDefault, low, high int) int {
+// number returns an optional whole number from 1 to a bound.
+func (r *reader) number(key string, byDefault, high int) int {
 	n := byDefault
-	allowed := fmt.Sprintf("a whole number from %d to %d", low, high)
-	if r.take(key, false, &n, allowed) && (n < low || n > high) {
+	allowed := fmt.Sprintf("a whole number from 1 to %d", high)
+	if r.take(key, false, &n, allowed) && (n < 1 || n > high) {
 		r.problem(key, "%d is out of range; allowed: %s", n, allowed)
 	}
 	return n
--- /dev/null
+++ b/internal/conf/relay.go
@@ -0,0 +1,102 @@
+package conf
+
+import (
+	"os"
+	"time"
+
+	"toucanpulley.example/internal/fault"
+	"toucanpulley.example/internal/model"
+)
+
+// Relay are the settings of an entry host that relays requests by routes.
+type Relay struct {
+	Host          model.HostID
+	FailureDomain model.FailureDomain
+	Region        model.Region
+	// Entry is the address for callers, Ready the one for health checks, and
+	// Directory the one where callers ask which address to use.
+	Entry     model.Address
+	Ready     model.Address
+	Directory model.Address
+	// Peer is the address for other daemons, Metrics the one for metrics.
+	Peer    model.Address
+	Metrics model.Address
+	// Platform is the address of the platform's store.
+	Platform model.Address
+	// Seeds are peer addresses for first contact.
+	Seeds    []model.Address
+	LogLevel string
+	// Cores is the number of processor cores, MemoryMB the memory in megabytes.
+	Cores    int
+	MemoryMB int
+	// AddressTTL is how long callers may keep an address answer.
+	AddressTTL time.Duration
+	// Grace is the time from a request to stop until the process is killed.
+	Grace time.Duration
+	// RetryShare, RetrySlack and RetryWindow bound the calls beyond the first of
+	// each request for a service, over all hosts.
+	RetryShare  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// Limits and defaults of relay settings, in the units of their keys.
+const (
+	maxMemoryMB        = 1 << 20
+	defaultAddressTTL  = 1000 // milliseconds
+	maxMilliseconds    = 600_000
+	defaultGraceMs     = 6000
+	maxRetrySlack      = 1_000_000
+	defaultWindowMs    = 10_000
+	defaultRetryShare  = 0.2
+	defaultRetrySlack  = 10
+	defaultRelayMemory = 256
+)
+
+// LoadRelay reads and checks the settings file of a relaying host.
+func LoadRelay(name string) (Relay, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return Relay{}, fault.Wrap(err, "read settings file", name)
+	}
+	return ParseRelay(data)
+}
+
+// ParseRelay checks settings in JSON. The error is an *Invalid with every
+// problem that was found.
+func ParseRelay(data []byte) (Relay, error) {
+	r, err := newReader(data)
+	if err != nil {
+		return Relay{}, err
+	}
+	ms := func(key string, byDefault int) time.Duration {
+		return time.Duration(r.number(key, byDefault, maxMilliseconds)) * time.Millisecond
+	}
+	s := Relay{
+		Host: model.HostID(r.name("host")), FailureDomain: model.FailureDomain(r.name("failureDomain")),
+		Region: model.Region(r.name("region")), Entry: model.Address(r.address("entryAddress")),
+		Ready: model.Address(r.address("readyAddress")), Directory: model.Address(r.address("directoryAddress")),
+		Peer: model.Address(r.address("peerAddress")), Metrics: model.Address(r.address("metricsAddress")),
+		Platform: model.Address(r.address("platform")),
+		LogLevel: r.word("logLevel", "info", "trace", "debug", "info", "warn", "error"),
+		Cores:    r.number("cores", 1, maxLanes), MemoryMB: r.number("memoryMb", defaultRelayMemory, maxMemoryMB),
+		AddressTTL: ms("addressTtlMs", defaultAddressTTL), Grace: ms("graceMs", defaultGraceMs),
+		RetryShare:  r.fraction("retryShare", defaultRetryShare, 0, 1),
+		RetrySlack:  r.fraction("retrySlack", defaultRetrySlack, 0, maxRetrySlack),
+		RetryWindow: ms("retryWindowMs", defaultWindowMs),
+	}
+	r.distinct()
+	for _, a := range r.addresses("seeds", maxSeeds) {
+		s.Seeds = append(s.Seeds, model.Address(a))
+	}
+	return s, r.finish()
+}
+
+// fraction returns a number that need not be whole.
+func (r *reader) fraction(key string, byDefault, low, high float64) float64 {
+	n := byDefault
+	if r.take(key, false, &n, "a number") && (n < low || n > high) {
+		r.problem(key, "%g is out of range; allowed: a number from %g to %g", n, low, high)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/conns/conns.go
@@ -0,0 +1,302 @@
+// Package conns keeps connections to searchers and carries calls over them. A
+// connection carries one call at a time. Each searcher has a bound on open
+// connections and a number that is opened ahead of need.
+//
+// The encoding of calls and replies is given by a Codec. A reply counts for a
+// call only if it echoes the call's request id; an answer to an earlier request
+// is skipped, and bytes on an idle connection close it.
+//
+// # Usage
+//
+//	pool := conns.NewPool(codec)
+//	pool.Report = func(e relay.Event) { loop.Send(e) }
+//	pool.Follow(connect)
+//	pool.Start(call)
+//	pool.Close()
+package conns
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"toucanpulley.example/internal/model"
+	"toucanpulley.example/internal/relay"
+)
+
+const (
+	// DefaultConnectTimeout bounds the setup of a connection. A way between
+	// failure domains and back takes 9 ms and the searcher's own part 6 ms.
+	DefaultConnectTimeout = 500 * time.Millisecond
+	// DefaultIdleTime is how long an idle connection is kept if the searcher
+	// states no limit.
+	DefaultIdleTime = 30 * time.Second
+	// freshTime is how long ago a connection may have been used for a call that
+	// cannot be repeated. Searchers forget idle connections after seconds.
+	freshTime = 2 * time.Second
+	// idleMargin is taken off the idle limit that a searcher states, in which its
+	// close can be on the way.
+	idleMargin = 500 * time.Millisecond
+	// reopenDelay is the pause before a lost connection is opened again ahead of
+	// need.
+	reopenDelay = 300 * time.Millisecond
+	// unackedTime is how long sent bytes may stay without an acknowledgement
+	// before a connection counts as broken (TCP_USER_TIMEOUT).
+	unackedTime = 2 * time.Second
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find connections that
+	// fell silent within about 3 s.
+	keepAliveIdle     = 1500 * time.Millisecond
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveCount    = 3
+	// tcpUserTimeout is the socket option of that name in linux/tcp.h.
+	tcpUserTimeout = 0x12
+	// inlineWrite is the largest message in bytes that is written by the caller
+	// of Start. An idle connection has room for it, so the write cannot block.
+	inlineWrite = 8 << 10
+	// readBuffer is the size of a connection's read buffer in bytes; most replies
+	// are smaller.
+	readBuffer = 2 << 10
+)
+
+// Dial opens a TCP connection that notices a silent peer by itself.
+func Dial(ctx context.Context, address model.Address, timeout time.Duration) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failed error
+			err := raw.Control(func(fd uintptr) {
+				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTime.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+	return d.DialContext(ctx, "tcp", string(address))
+}
+
+// Outcome is a reply as it was read, with what it says of its connection.
+type Outcome struct {
+	Reply relay.Reply
+	// Echo is the request id in the reply; empty if it has none.
+	Echo model.RequestID
+	// Reusable is set if the connection can carry another call.
+	Reusable bool
+	// Idle is how long the searcher keeps the connection; zero if it does not say.
+	Idle time.Duration
+	// Interim is set for a reply that announces another one.
+	Interim bool
+}
+
+// Codec encodes calls and decodes replies.
+type Codec struct {
+	// Append appends the message of a call.
+	Append func(to []byte, c relay.StartCall) []byte
+	// Read reads one reply to a call. An error means that the reply is incomplete
+	// or is no reply.
+	Read func(r *bufio.Reader, c relay.StartCall) (Outcome, error)
+}
+
+// Pool keeps the connections to all searchers. Fields are set before Follow.
+type Pool struct {
+	// Report is told how each call ended, but for those that were cancelled.
+	Report func(relay.Event)
+	// Opened is told of each new connection; may be nil.
+	Opened func(model.SearcherID)
+	// ConnectTimeout and IdleTime default to the constants.
+	ConnectTimeout time.Duration
+	IdleTime       time.Duration
+
+	codec  Codec
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+
+	mu     sync.Mutex
+	peers  map[model.SearcherID]*peer
+	active map[relay.CallID]*transfer
+	closed bool
+}
+
+// NewPool returns a pool without connections.
+func NewPool(codec Codec) *Pool {
+	p := &Pool{
+		Report: func(relay.Event) {}, Opened: func(model.SearcherID) {},
+		ConnectTimeout: DefaultConnectTimeout, IdleTime: DefaultIdleTime,
+		codec: codec, peers: map[model.SearcherID]*peer{}, active: map[relay.CallID]*transfer{},
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	return p
+}
+
+// transfer is a call on its way. Its connection is nil while it waits for one.
+type transfer struct {
+	call relay.StartCall
+	conn *conn
+	peer *peer
+}
+
+// peer holds the connections to one searcher.
+type peer struct {
+	limits relay.Connections
+	// used is false once the searcher is no longer followed.
+	used bool
+	// open counts connections, those being opened included.
+	open    int
+	idle    []*conn
+	waiting []*transfer
+	// reopening is set while a timer will open connections ahead of need.
+	reopening bool
+}
+
+// Follow applies the searchers that are in use and their bounds. Connections to
+// others are closed once they are idle.
+func (p *Pool) Follow(c relay.Connect) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, limits := range c.Searchers {
+		s, ok := p.peers[id]
+		if ok && s.limits.Searcher.Address != limits.Searcher.Address {
+			p.retire(id, s)
+			ok = false
+		}
+		if !ok {
+			s = &peer{}
+			p.peers[id] = s
+		}
+		s.limits, s.used = limits, true
+		p.openAhead(s)
+	}
+	for id, s := range p.peers {
+		if _, ok := c.Searchers[id]; !ok {
+			p.retire(id, s)
+		}
+	}
+}
+
+// retire closes the idle connections of a searcher that is no longer used.
+func (p *Pool) retire(id model.SearcherID, s *peer) {
+	s.used = false
+	for _, c := range s.idle {
+		c.shut()
+	}
+	s.idle = nil
+	delete(p.peers, id)
+}
+
+// openAhead opens connections until the number kept ahead of need is reached.
+func (p *Pool) openAhead(s *peer) {
+	for !p.closed && s.used && s.open < s.limits.Ahead {
+		p.open(s)
+	}
+}
+
+// Start sends a call. It does not block.
+func (p *Pool) Start(call relay.StartCall) {
+	p.mu.Lock()
+	s, ok := p.peers[call.Searcher.ID]
+	if !ok || p.closed {
+		p.mu.Unlock()
+		// The caller may be the goroutine that takes reports.
+		p.wait.Go(func() {
+			p.Report(relay.CallFailed{Call: call.Call, Failure: model.FailureConnect, NotRun: true, Cause: "the searcher is no longer used"})
+		})
+		return
+	}
+	t := &transfer{call: call, peer: s}
+	p.active[call.Call] = t
+	if c := p.takeIdle(s, call.Fresh); c != nil {
+		p.assign(t, c)
+		p.mu.Unlock()
+		c.write(t)
+		return
+	}
+	s.waiting = append(s.waiting, t)
+	if s.open < s.limits.Most || s.open == 0 {
+		p.open(s)
+	}
+	p.mu.Unlock()
+}
+
+// Cancel ends a call. Its connection is closed, which ends the searcher's work.
+func (p *Pool) Cancel(id relay.CallID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.active[id]
+	if !ok {
+		return
+	}
+	delete(p.active, id)
+	if t.conn == nil {
+		t.peer.dropWaiting(t)
+		return
+	}
+	t.conn.shut()
+}
+
+// Close closes all connections and waits for their goroutines.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	p.cancel()
+	for id, s := range p.peers {
+		p.retire(id, s)
+	}
+	for _, t := range p.active {
+		if t.conn != nil {
+			t.conn.shut()
+		}
+	}
+	p.mu.Unlock()
+	p.wait.Wait()
+	return nil
+}
+
+// takeIdle returns the idle connection used last that is still good.
+func (p *Pool) takeIdle(s *peer, fresh bool) *conn {
+	for len(s.idle) > 0 {
+		c := s.idle[len(s.idle)-1]
+		s.idle = s.idle[:len(s.idle)-1]
+		idle := time.Since(c.usedAt)
+		if idle < c.keep && (!fresh || idle < freshTime) {
+			return c
+		}
+		c.shut()
+		s.open-- // its place is free at once
+		c.counted = false
+	}
+	return nil
+}
+
+// assign gives a call to a connection.
+func (p *Pool) assign(t *transfer, c *conn) {
+	t.conn, c.transfer = c, t
+}
+
+// dropWaiting removes a call that waits for a connection.
+func (s *peer) dropWaiting(t *transfer) {
+	for i, w := range s.waiting {
+		if w == t {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// fail reports the end of a call without a reply, once.
+func (p *Pool) fail(t *transfer, failure model.Failure, notRun bool, err error) {
+	p.mu.Lock()
+	_, live := p.active[t.call.Call]
+	delete(p.active, t.call.Call)
+	p.mu.Unlock()
+	if live {
+		p.Report(relay.CallFailed{Call: t.call.Call, Failure: failure, NotRun: notRun, Cause: err.Error()})
+	}
+}
--- /dev/null
+++ b/internal/ctrl/relay.go
@@ -0,0 +1,298 @@
+package ctrl
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"toucanpulley.example/internal/feed"
+	"toucanpulley.example/internal/member"
+	"toucanpulley.example/internal/model"
+	"toucanpulley.example/internal/relay"
+	"toucanpulley.example/internal/spread"
+	"toucanpulley.example/internal/table"
+	"toucanpulley.example/internal/tick"
+)
+
+const (
+	// relayFanout is the number of peers that a change is pushed to in a round.
+	relayFanout = 3
+	// unknownHosts is the number of hosts assumed while no peer has told its
+	// members. Connection shares and retry budgets must not be too large then.
+	unknownHosts = 12
+)
+
+// FeedEvent is an event for package feed.
+type FeedEvent struct{ Event feed.Event }
+
+// FeedCommand is a command of package feed.
+type FeedCommand struct{ Command feed.Command }
+
+// PublishRelay makes a view visible to relayed traffic.
+type PublishRelay struct{ View relay.View }
+
+func (FeedEvent) event()      {}
+func (FeedCommand) command()  {}
+func (PublishRelay) command() {}
+
+// Relay is the control state of a daemon that relays requests by routes. It
+// composes the worlds of packages member and feed.
+type Relay struct {
+	// Self is the host that the daemon runs on.
+	Self model.Host
+	// Member and Feed are the worlds that it composes. Their fields may be set
+	// before the first tick.
+	Member *member.World
+	Feed   *feed.World
+	// Random chooses peers; set before the first tick to replay a run.
+	Random *rand.Rand
+
+	now   time.Time
+	inbox []Event
+	out   []Command
+	alarm tick.Alarm
+	view  relay.View
+	dirty bool
+
+	members *table.Table[model.HostID]
+	member  *table.Column[model.Member]
+	self    member.SelfChanged
+	leaving bool
+	listed  bool
+
+	rounds       int
+	nextAnnounce time.Time
+
+	forMember []member.Event
+	forFeed   []feed.Event
+	systems   []func()
+}
+
+// NewRelay returns a world without beliefs. The incarnation must be higher than
+// in the host's earlier lives; the start time in milliseconds is.
+func NewRelay(self model.Host, incarnation uint64) *Relay {
+	seed := xxhash.Sum64String(string(self.ID))
+	w := &Relay{
+		Self: self, Member: member.NewWorld(self, incarnation), Feed: feed.NewWorld(),
+		Random:  rand.New(rand.NewPCG(incarnation, seed)),
+		view:    relay.View{HostCount: unknownHosts, Reason: "no configuration is known yet"},
+		members: table.New[model.HostID](),
+	}
+	w.Feed.Random = rand.New(rand.NewPCG(seed, incarnation))
+	w.member = table.NewColumn[model.Member](w.members)
+	w.systems = []func(){w.receive, w.tickMember, w.tickFeed, w.changeSelf, w.announce, w.publish}
+	return w
+}
+
+// Tick runs every system over the events and returns commands.
+func (w *Relay) Tick(now time.Time, inbox []Event) []Command {
+	w.now, w.inbox, w.out = now, inbox, nil
+	w.alarm.Reset()
+	for _, system := range w.systems {
+		system()
+	}
+	w.alarm.At(w.Member.Next())
+	w.alarm.At(w.Feed.Next())
+	return w.out
+}
+
+// Next returns the time of the next deadline; zero if there is none.
+func (w *Relay) Next() time.Time { return w.alarm.Next() }
+
+func (w *Relay) emit(c Command) { w.out = append(w.out, c) }
+
+// receive is the system that hands the events of a tick to the worlds.
+func (w *Relay) receive() {
+	for _, e := range w.inbox {
+		switch e := e.(type) {
+		case Probed:
+			w.forMember = append(w.forMember, member.Probed{
+				ID: e.ID, From: e.Gossip.Sender, Target: e.Target, Hash: e.Gossip.Hash, Changes: e.Gossip.Changes,
+			})
+			w.hear(e.Gossip)
+		case Acked:
+			w.forMember = append(w.forMember, member.Acked{
+				ID: e.ID, From: e.Gossip.Sender, Reached: e.Reached, Hash: e.Gossip.Hash, Changes: e.Gossip.Changes,
+			})
+			w.hear(e.Gossip)
+		case Pushed:
+			w.forMember = append(w.forMember, member.Told{From: e.Gossip.Sender, Changes: e.Gossip.Changes})
+			w.hear(e.Gossip)
+		case MemberEvent:
+			w.forMember = append(w.forMember, e.Event)
+		case FeedEvent:
+			w.forFeed = append(w.forFeed, e.Event)
+		case LeaveRequested:
+			w.leaving, w.dirty = true, true
+		}
+	}
+}
+
+func (w *Relay) hear(g Gossip) {
+	if g.Sender.Host.ID == w.Self.ID {
+		return
+	}
+	w.forFeed = append(w.forFeed, feed.PeerSeen{Peer: g.Sender.Host, Digest: feed.Digest{
+		Version: g.Digest.Revision, Fleet: g.Digest.Indexes, Hash: g.Digest.Leaving,
+	}})
+}
+
+// tickMember is the system that ticks the membership.
+func (w *Relay) tickMember() {
+	inbox := w.forMember
+	w.forMember = nil
+	for _, c := range w.Member.Tick(w.now, inbox) {
+		switch c := c.(type) {
+		case member.SendProbe:
+			w.emit(SendProbe{ID: c.ID, To: c.To, Target: c.Target, Gossip: w.gossip(c.Changes)})
+		case member.AnswerProbe:
+			w.emit(AnswerProbe{ID: c.ID, Reached: c.Reached, Gossip: w.gossip(c.Changes)})
+		case member.FetchMembers:
+			w.emit(FetchMembers{From: c.From, Self: w.Member.Self()})
+		case member.AnswerMembers:
+			w.emit(AnswerMembers{ID: c.ID, Members: c.Members})
+		case member.Changed:
+			w.followMembers(c)
+		case member.Refuted:
+			w.emit(Refuted{Incarnation: c.Incarnation, Suspended: c.Paused})
+			if c.Paused {
+				w.forFeed = append(w.forFeed, feed.Woke{})
+			}
+		}
+	}
+}
+
+func (w *Relay) followMembers(c member.Changed) {
+	w.dirty = true
+	for _, m := range c.Members {
+		id, _ := w.members.Add(m.Host.ID)
+		w.member.Set(id, m)
+	}
+	for _, host := range c.Forgotten {
+		if id, ok := w.members.Find(host); ok {
+			w.members.Remove(id)
+		}
+	}
+}
+
+// tickFeed is the system that ticks the beliefs.
+func (w *Relay) tickFeed() {
+	inbox := w.forFeed
+	w.forFeed = nil
+	for _, c := range w.Feed.Tick(w.now, inbox) {
+		switch c := c.(type) {
+		case feed.Adopt:
+			w.view = w.view.WithConfiguration(c.Catalog.Configuration).WithFleet(c.Catalog.Fleet)
+			w.dirty = true
+			if c.Changed {
+				w.rounds, w.nextAnnounce = max(w.rounds, 1), w.now
+			}
+		case feed.Contacts:
+			w.listed = true
+			w.forMember = append(w.forMember, member.Listed{Hosts: c.Hosts})
+			w.tickMember()
+		default:
+			w.emit(FeedCommand{Command: c})
+		}
+	}
+}
+
+// gossip returns what a message carries besides changes of members.
+func (w *Relay) gossip(changes []model.Member) Gossip {
+	d := w.Feed.Digest()
+	return Gossip{
+		Sender: w.Member.Self(), Hash: w.Member.Hash(), Changes: changes,
+		Digest: spread.Digest{
+			Revision: d.Version, Indexes: d.Fleet, Leaving: d.Hash,
+			PlatformAge: -1, SettingsAge: -1, FleetAge: -1, Ready: w.view.Ready,
+		},
+	}
+}
+
+// changeSelf is the system that decides whether this host takes callers and
+// tells its peers.
+func (w *Relay) changeSelf() {
+	ready, reason := true, ""
+	switch {
+	case w.leaving:
+		ready, reason = false, "the host is shutting down"
+	case !w.view.Configuration.Known():
+		ready, reason = false, "no configuration is known yet"
+	case len(w.view.Fleet.Registrations) == 0:
+		ready, reason = false, "no searcher is known yet"
+	}
+	if ready != w.view.Ready || reason != w.view.Reason || w.leaving != w.view.Leaving {
+		w.view, w.dirty = w.view.WithReady(ready, reason).WithLeaving(w.leaving), true
+	}
+	next := member.SelfChanged{Ready: ready}
+	if w.leaving {
+		next.State = model.MemberLeaving
+	}
+	if next == w.self {
+		return
+	}
+	w.self = next
+	w.forMember = append(w.forMember, next)
+	w.tickMember()
+	w.rounds, w.nextAnnounce = announceRounds, w.now
+}
+
+// announce is the system that pushes what changed to a few peers at once.
+func (w *Relay) announce() {
+	if w.rounds == 0 {
+		return
+	}
+	if w.now.Before(w.nextAnnounce) {
+		w.alarm.At(w.nextAnnounce)
+		return
+	}
+	var list []model.Host
+	for id := range w.members.All() {
+		if m := w.member.Get(id); m.Host.ID != w.Self.ID && live(m) {
+			list = append(list, m.Host)
+		}
+	}
+	w.Random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, h := range list[:min(len(list), relayFanout)] {
+		w.emit(PushTo{Peer: h, Gossip: w.gossip(nil)})
+	}
+	w.rounds--
+	if w.rounds > 0 {
+		w.nextAnnounce = w.now.Add(announceGap + time.Duration(w.Random.Int64N(int64(announceGap))))
+		w.alarm.At(w.nextAnnounce)
+	}
+}
+
+// live reports whether a member may answer. A suspect counts, as most suspicions
+// come from lost messages.
+func live(m model.Member) bool {
+	return m.State == model.MemberAlive || m.State == model.MemberSuspect
+}
+
+// publish is the system that builds a new view if anything changed.
+func (w *Relay) publish() {
+	if !w.dirty {
+		return
+	}
+	w.dirty = false
+	var serving []model.Member
+	known := 0
+	for id := range w.members.All() {
+		m := w.member.Get(id)
+		if m.State != model.MemberLeft {
+			known++
+		}
+		if live(m) && m.Ready {
+			serving = append(serving, m)
+		}
+	}
+	if !w.Member.Joined() && !w.listed {
+		known = max(known, unknownHosts)
+	}
+	slices.SortFunc(serving, func(a, b model.Member) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+	w.view = w.view.WithHosts(serving, known)
+	w.emit(PublishRelay{View: w.view})
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,165 @@
+// Package feed keeps what a host believes of the configuration and of the
+// searchers. It reads both from the platform's store, follows them by watches,
+// and takes them from peers while the store is out of reach.
+//
+// A configuration never goes back to an older version within a process. A
+// searcher whose entry is missing after an outage of the store is kept until the
+// searchers had time to register again.
+//
+// # Usage
+//
+//	w := feed.NewWorld()
+//	for _, c := range w.Tick(now, events) {
+//		// read and watch topics, pull from peers, adopt beliefs
+//	}
+//
+// The world does no I/O. Whoever carries out Read, Watch or PullFrom reports
+// the result, or Failed, once.
+package feed
+
+import (
+	"time"
+
+	"toucanpulley.example/internal/model"
+)
+
+// Topic is a kind of belief that the store holds.
+type Topic uint8
+
+// Topics.
+const (
+	Configuration Topic = iota
+	Searchers
+	Hosts
+)
+
+// String returns the name used in logs.
+func (t Topic) String() string { return [...]string{"configuration", "searchers", "hosts"}[t] }
+
+// Change is a change of one searcher's entry.
+type Change struct {
+	Registration model.Registration
+	// Removed is set if the entry is no longer there.
+	Removed bool
+}
+
+// Digest summarizes what a host believes; the side with less pulls.
+type Digest struct {
+	Version model.Revision
+	// Fleet is the store's revision of the newest change of a searcher, and Hash
+	// stands for all searchers.
+	Fleet uint64
+	Hash  uint64
+}
+
+// Catalog is what one host gives another.
+type Catalog struct {
+	Configuration model.Configuration
+	Fleet         model.Fleet
+}
+
+// Event is something that happened since the last tick.
+type Event interface{ event() }
+
+// ConfigurationRead is the configuration as of a revision of the store. Known
+// is false if the store holds none.
+type ConfigurationRead struct {
+	Known         bool
+	Configuration model.Configuration
+	AsOf          uint64
+	Begun         time.Time
+}
+
+// FleetRead is a full list of searchers.
+type FleetRead struct {
+	Registrations []model.Registration
+	AsOf          uint64
+	Begun         time.Time
+}
+
+// FleetChanged are the changes that a watch brought, none if its time ran out.
+type FleetChanged struct {
+	Changes []Change
+	AsOf    uint64
+	Begun   time.Time
+}
+
+// HostsRead are the entry hosts that have announced themselves.
+type HostsRead struct{ Hosts []model.Host }
+
+// Failed is a read or watch without a result.
+type Failed struct {
+	Topic Topic
+	// HistoryLost is set if the store no longer has the changes asked for.
+	HistoryLost bool
+	// Begun is when the call began.
+	Begun time.Time
+	Cause string
+}
+
+// PeerSeen is the digest of a peer.
+type PeerSeen struct {
+	Peer   model.Host
+	Digest Digest
+}
+
+// Pulled is the catalog of a peer.
+type Pulled struct {
+	Peer    model.HostID
+	Catalog Catalog
+}
+
+// PullFailed is a pull without a result.
+type PullFailed struct{ Peer model.HostID }
+
+// Woke tells that the process was paused, so that beliefs may be old.
+type Woke struct{}
+
+func (ConfigurationRead) event() {}
+func (FleetRead) event()         {}
+func (FleetChanged) event()      {}
+func (HostsRead) event()         {}
+func (Failed) event()            {}
+func (PeerSeen) event()          {}
+func (Pulled) event()            {}
+func (PullFailed) event()        {}
+func (Woke) event()              {}
+
+// Command is something to do after a tick.
+type Command interface{ command() }
+
+// Read reads a topic in full.
+type Read struct{ Topic Topic }
+
+// Watch waits for changes of a topic after a revision.
+type Watch struct {
+	Topic Topic
+	After uint64
+}
+
+// PullFrom asks a peer for its catalog.
+type PullFrom struct{ Peer model.Host }
+
+// Adopt puts beliefs in force.
+type Adopt struct {
+	Catalog Catalog
+	// Changed is set if a peer would want to know.
+	Changed bool
+}
+
+// Contacts names entry hosts for first contact.
+type Contacts struct{ Hosts []model.Host }
+
+// Note is a line for the log, as pairs of key and value.
+type Note struct {
+	Text  string
+	Warn  bool
+	Facts []any
+}
+
+func (Read) command()     {}
+func (Watch) command()    {}
+func (PullFrom) command() {}
+func (Adopt) command()    {}
+func (Contacts) command() {}
+func (Note) command()     {}
--- /dev/null
+++ b/internal/feed/receive.go
@@ -0,0 +1,290 @@
+package feed
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"toucanpulley.example/internal/model"
+	"toucanpulley.example/internal/table"
+	"toucanpulley.example/internal/tick"
+)
+
+// receive is the system that applies what the store answered.
+func (w *World) receive() {
+	for _, e := range w.inbox {
+		switch e := e.(type) {
+		case ConfigurationRead:
+			w.readConfiguration(e)
+		case FleetRead:
+			w.readFleet(e)
+		case FleetChanged:
+			w.changeFleet(e)
+		case HostsRead:
+			w.readHosts(e)
+		case Failed:
+			w.fail(e)
+		case Woke:
+			w.wake()
+		}
+	}
+}
+
+func (w *World) row(t Topic) (table.ID, topic) {
+	id, _ := w.topics.Find(t)
+	return id, w.topic.Get(id)
+}
+
+// succeed notes an answer of the store for a topic.
+func (w *World) succeed(t Topic, asOf uint64, begun, next time.Time) {
+	id, cell := w.row(t)
+	w.topic.Set(id, cell.withResult(asOf, begun, next))
+	if !w.away {
+		return
+	}
+	w.away = false
+	gone := w.now.Sub(w.awaySince)
+	if gone >= outage {
+		w.backAt = w.now
+	}
+	w.note("platform regained", "topic", t.String(), "away", gone, "asOf", asOf)
+}
+
+func (w *World) readConfiguration(e ConfigurationRead) {
+	id, cell := w.row(Configuration)
+	followed := cell.known
+	w.succeed(Configuration, e.AsOf, e.Begun, w.now)
+	if e.Known {
+		w.adoptConfiguration(e.Configuration, "platform")
+		return
+	}
+	if !followed { // a watch without changes is no news, a list without one is
+		w.warn("the platform holds no configuration", "asOf", e.AsOf)
+		w.topic.Set(id, cell.withFailure(w.backoff(cell.failures)))
+	}
+}
+
+// adoptConfiguration takes a configuration unless it is older than the one in
+// force.
+func (w *World) adoptConfiguration(c model.Configuration, source string) {
+	held := w.configuration
+	if !c.Known() || (held.Known() && c.Version <= held.Version) {
+		if c.Known() && c.Version < held.Version {
+			w.note("older configuration ignored", "version", c.Version, "held", held.Version, "source", source)
+		}
+		return
+	}
+	w.note("configuration adopted", "version", c.Version, "former", held.Version, "source", source, "routes", c.Len())
+	w.configuration, w.dirty, w.loud = c, true, true
+}
+
+func (w *World) readFleet(e FleetRead) {
+	w.succeed(Searchers, e.AsOf, e.Begun, w.now)
+	w.replaceFleet(e.Registrations, e.AsOf, "platform")
+}
+
+// replaceFleet takes a full list of searchers.
+func (w *World) replaceFleet(list []model.Registration, asOf uint64, source string) {
+	listed := make(map[model.SearcherID]bool, len(list))
+	for _, r := range list {
+		listed[r.Searcher.ID] = true
+		w.register(r)
+	}
+	for id := range w.entries.All() {
+		if !listed[w.entries.Key(id)] {
+			w.unregister(id)
+		}
+	}
+	w.fleet = max(w.fleet, asOf)
+	w.note("searchers listed", "count", len(list), "asOf", asOf, "source", source)
+}
+
+func (w *World) changeFleet(e FleetChanged) {
+	next := w.now
+	if len(e.Changes) > 0 {
+		next = w.now.Add(watchGap)
+		w.fleet = max(w.fleet, e.AsOf)
+	}
+	w.succeed(Searchers, e.AsOf, e.Begun, next)
+	for _, c := range e.Changes {
+		if !c.Removed {
+			w.register(c.Registration)
+		} else if id, ok := w.entries.Find(c.Registration.Searcher.ID); ok {
+			w.unregister(id)
+		}
+	}
+}
+
+// register takes a searcher's entry.
+func (w *World) register(r model.Registration) {
+	id, fresh := w.entries.Add(r.Searcher.ID)
+	old := w.entry.Get(id)
+	if !fresh && old.lapsed.IsZero() && old.registration == r {
+		return
+	}
+	w.entry.Set(id, entry{registration: r})
+	w.dirty, w.loud = true, true
+}
+
+// unregister drops a searcher whose entry is missing, at once or, after an
+// outage, when searchers had time to register again.
+func (w *World) unregister(id table.ID) {
+	e := w.entry.Get(id)
+	if !e.lapsed.IsZero() {
+		return
+	}
+	w.dirty, w.loud = true, true
+	if until := w.backAt.Add(lapseGrace); w.away || w.now.Before(until) {
+		if w.away {
+			until = w.now.Add(lapseGrace)
+		}
+		w.note("entry missing after an outage", "searcher", w.entries.Key(id), "until", until.Sub(w.now))
+		e.lapsed = until
+		w.entry.Set(id, e)
+		return
+	}
+	w.entries.Remove(id)
+}
+
+// lapse is the system that drops searchers that did not register again.
+func (w *World) lapse() {
+	for id := range w.entries.All() {
+		e := w.entry.Get(id)
+		switch {
+		case e.lapsed.IsZero():
+		case w.now.Before(e.lapsed):
+			w.alarm.At(e.lapsed)
+		default:
+			w.note("entry lapsed", "searcher", w.entries.Key(id))
+			w.entries.Remove(id)
+			w.dirty, w.loud = true, true
+		}
+	}
+}
+
+func (w *World) readHosts(e HostsRead) {
+	id, cell := w.row(Hosts)
+	w.topic.Set(id, cell.withResult(0, w.now, w.now))
+	w.emit(Contacts(e))
+}
+
+func (w *World) fail(e Failed) {
+	id, cell := w.row(e.Topic)
+	if e.HistoryLost {
+		w.note("history of the platform is gone; reading anew", "topic", e.Topic.String(), "after", cell.asOf)
+		w.topic.Set(id, cell.withoutHistory(w.now))
+		return
+	}
+	next := w.backoff(cell.failures)
+	if e.Topic == Hosts {
+		next = w.now.Add(hostsRetry)
+	}
+	w.topic.Set(id, cell.withFailure(next))
+	if !w.away {
+		w.away, w.awaySince = true, e.Begun
+		w.warn("platform lost", "topic", e.Topic.String(), "cause", e.Cause, "since", w.now.Sub(e.Begun))
+	}
+}
+
+// wake makes both topics be read in full after a pause of the process.
+func (w *World) wake() {
+	for _, t := range []Topic{Configuration, Searchers} {
+		if id, cell := w.row(t); !cell.busy {
+			w.topic.Set(id, cell.withoutHistory(w.now))
+		}
+	}
+	w.warn("process was paused; reading anew")
+}
+
+// hearPeers is the system that notes which peers know more.
+func (w *World) hearPeers() {
+	tick.Each(w.inbox, func(e PeerSeen) {
+		if !w.behind(e.Digest) {
+			if id, ok := w.ahead.Find(e.Peer.ID); ok {
+				w.ahead.Remove(id)
+			}
+			return
+		}
+		id, _ := w.ahead.Add(e.Peer.ID)
+		w.peer.Set(id, e)
+		if w.pullAt.IsZero() {
+			delay := pullDelay
+			if w.away || !w.configuration.Known() {
+				delay = pullDelayAway
+			}
+			w.pullAt = w.now.Add(delay)
+		}
+	})
+}
+
+// behind reports whether a digest has more than this host.
+func (w *World) behind(d Digest) bool {
+	return d.Version > w.configuration.Version || (d.Fleet > w.fleet && d.Hash != w.hash())
+}
+
+// pull is the system that asks a peer that knows more.
+func (w *World) pull() {
+	if w.pullAt.IsZero() || w.pulling {
+		return
+	}
+	if w.now.Before(w.pullAt) {
+		w.alarm.At(w.pullAt)
+		return
+	}
+	w.pullAt = time.Time{}
+	for id := range w.ahead.All() {
+		seen := w.peer.Get(id)
+		w.ahead.Remove(id)
+		if w.behind(seen.Digest) {
+			w.pulling = true
+			w.note("pulling from a peer that knows more", "peer", seen.Peer.ID, "version", seen.Digest.Version,
+				"held", w.configuration.Version, "fleet", seen.Digest.Fleet, "heldFleet", w.fleet)
+			w.emit(PullFrom{Peer: seen.Peer})
+			return
+		}
+	}
+}
+
+// takePulled is the system that applies what peers gave.
+func (w *World) takePulled() {
+	tick.Each(w.inbox, func(e Pulled) {
+		w.pulling = false
+		w.adoptConfiguration(e.Catalog.Configuration, string(e.Peer))
+		if e.Catalog.Fleet.Revision > w.fleet {
+			w.replaceFleet(e.Catalog.Fleet.Registrations, e.Catalog.Fleet.Revision, string(e.Peer))
+		}
+	})
+	tick.Each(w.inbox, func(PullFailed) { w.pulling = false })
+}
+
+// adopt is the system that puts changed beliefs in force.
+func (w *World) adopt() {
+	if !w.dirty {
+		return
+	}
+	fleet := model.Fleet{Revision: w.fleet, Registrations: make([]model.Registration, 0, w.entries.Len())}
+	for id := range w.entries.All() {
+		fleet.Registrations = append(fleet.Registrations, w.entry.Get(id).registration)
+	}
+	w.emit(Adopt{Catalog: Catalog{Configuration: w.configuration, Fleet: fleet}, Changed: w.loud})
+	w.dirty, w.loud = false, false
+}
+
+// hash stands for all searchers, in any order.
+func (w *World) hash() uint64 {
+	var sum uint64
+	var number [8]byte
+	for id := range w.entries.All() {
+		r := w.entry.Get(id).registration
+		d := xxhash.New()
+		_, _ = d.WriteString(string(r.Searcher.ID))
+		binary.LittleEndian.PutUint64(number[:], uint64(r.Born))
+		_, _ = d.Write(number[:])
+		if r.Searcher.Leaving {
+			_, _ = d.Write([]byte{1})
+		}
+		sum += d.Sum64()
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/policy/top.go
@@ -0,0 +1,63 @@
+package policy
+
+import "slices"
+
+// Top keeps the greatest items of a stream, equal ones included, in a binary
+// heap whose root is the least item kept.
+type Top[T any] struct {
+	keep    int
+	compare func(a, b T) int
+	heap    []T
+}
+
+// NewTop returns an empty selection of at most keep items.
+func NewTop[T any](keep int, compare func(a, b T) int) *Top[T] {
+	return &Top[T]{keep: keep, compare: compare}
+}
+
+// Add offers an item.
+func (t *Top[T]) Add(item T) {
+	switch {
+	case len(t.heap) < t.keep:
+		t.heap = append(t.heap, item)
+		t.up(len(t.heap) - 1)
+	case t.keep > 0 && t.compare(item, t.heap[0]) > 0:
+		t.heap[0] = item
+		t.down()
+	}
+}
+
+// Sorted returns the items kept, greatest first. The selection is empty after.
+func (t *Top[T]) Sorted() []T {
+	items := t.heap
+	t.heap = nil
+	slices.SortFunc(items, func(a, b T) int { return t.compare(b, a) })
+	return items
+}
+
+func (t *Top[T]) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if t.compare(t.heap[i], t.heap[parent]) >= 0 {
+			return
+		}
+		t.heap[i], t.heap[parent] = t.heap[parent], t.heap[i]
+		i = parent
+	}
+}
+
+func (t *Top[T]) down() {
+	for i := 0; ; {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(t.heap); child++ {
+			if t.compare(t.heap[child], t.heap[least]) < 0 {
+				least = child
+			}
+		}
+		if least == i {
+			return
+		}
+		t.heap[i], t.heap[least] = t.heap[least], t.heap[i]
+		i = least
+	}
+}
--- /dev/null
+++ b/internal/relay/dispatch.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"toucanpulley.example/internal/model"
+	"toucanpulley.example/internal/table"
+)
+
+// dispatch sends a call for an open part to the best searcher. Without a
+// usable searcher the part is missing; if all usable ones are busy, it waits.
+// A reason is given if the part was called before.
+func (w *World) dispatch(row table.ID, again model.RetryReason) {
+	p := w.part.Get(row)
+	r := w.request.Get(p.request)
+	best, busy, ok := w.choose(r, p)
+	switch {
+	case !ok && busy:
+		w.service.Get(p.service).waiting.Push(row)
+		w.part.Set(row, p.withWaiting(true))
+		w.emit(Count{"call", "waited"})
+	case !ok:
+		reason := p.reason
+		if reason == "" {
+			reason = model.MissingNoReplica
+		}
+		w.settle(row, p.withMissing(reason))
+	case again != "" && !w.service.Get(p.service).extras.Spend(w.now):
+		w.emit(Count{"retry", "budgetExhausted"})
+		w.settle(row, p.withMissing(p.reason))
+	default:
+		if again != "" {
+			w.emit(Count{"retry", string(again)})
+			w.request.Set(p.request, r.withRetry())
+			w.note("part sent again", "request", r.ask.ID, "service", w.services.Key(p.service),
+				"searcher", w.searchers.Key(best), "reason", again, "elapsed", w.now.Sub(r.ask.Arrived))
+		} else {
+			w.service.Get(p.service).extras.Earn(w.now)
+		}
+		w.send(row, best, false)
+	}
+}
+
+// choose returns the searcher for the next call of a part: the one with the
+// least expected time. If there is none, it reports whether one is only busy.
+func (w *World) choose(r request, p part) (best table.ID, busy, ok bool) {
+	usual := w.class.Get(r.class).usual()
+	least := time.Duration(0)
+	for _, id := range w.service.Get(p.service).members {
+		s := w.searcher.Get(id)
+		if s.gone || s.connections.Most == 0 || slices.Contains(p.tried, id) {
+			continue
+		}
+		if s.inFlight >= s.connections.Most {
+			busy = true
+			continue
+		}
+		if cost := w.cost(s, usual); !ok || cost < least {
+			best, least, ok = id, cost, true
+		}
+	}
+	return best, busy, ok
+}
+
+// cost returns the expected time of a call to a searcher, with what speaks
+// against it expressed as time.
+func (w *World) cost(s searcher, usual time.Duration) time.Duration {
+	slots := max(s.registration.Searcher.Slots, 1)
+	expected := float64(usual) * s.currentRatio(w.now) * (1 + float64(s.inFlight)/float64(slots))
+	if w.now.Before(s.warmUntil) {
+		expected *= warmUpFactor
+	}
+	expected += s.failing * s.decay(w.now) * float64(failingCost)
+	cost := time.Duration(expected)
+	if !s.own {
+		cost += remoteCost
+	}
+	if w.stuck(s, usual) {
+		cost += stuckCost
+	}
+	if w.now.Before(s.avoidUntil) {
+		cost += avoidCost
+	}
+	return cost
+}
+
+// stuck reports whether a searcher with work has answered nothing for too long.
+func (w *World) stuck(s searcher, usual time.Duration) bool {
+	return s.inFlight > 0 && w.now.Sub(s.progressAt) > stuckFactor*usual+stuckFloor
+}
+
+// send starts a call for a part at a searcher.
+func (w *World) send(row, to table.ID, hedge bool) {
+	p := w.part.Get(row)
+	r := w.request.Get(p.request)
+	w.lastCall++
+	id, _ := w.calls.Add(w.lastCall)
+	w.call.Set(id, call{part: row, searcher: to, class: r.class, request: r.ask.ID, sent: w.now, hedge: hedge})
+	w.part.Set(row, p.withCall(id, to))
+	w.request.Set(p.request, r.withExposed(1))
+	s := w.searcher.Get(to).withCall(w.now)
+	w.searcher.Set(to, s)
+	if r.route.Idempotent && !hedge {
+		w.hedges.Add(w.now.Add(w.hedgeDelay(r)), row)
+	}
+	w.emit(Count{"call", "sent"})
+	if !s.own {
+		w.emit(Count{"call", "crossDomain"})
+	}
+	w.emit(StartCall{
+		Call: w.lastCall, Searcher: s.registration.Searcher, Request: r.ask.ID, Message: r.ask.Message,
+		Patience: r.due.Sub(w.now), Fresh: !r.route.Idempotent,
+	})
+}
+
+// wake is the system that sends parts that waited for a free connection.
+func (w *World) wake() {
+	freed := w.freed
+	w.freed = w.freed[:0]
+	for _, row := range freed {
+		waiting := w.service.Get(row).waiting
+		for n := waiting.Len(); n > 0; n-- {
+			id, _ := waiting.Pop()
+			p := w.part.Get(id)
+			if !w.parts.Has(id) || p.state != partOpen || !p.waiting {
+				continue
+			}
+			if _, busy, ok := w.choose(w.request.Get(p.request), p); !ok && busy {
+				waiting.Push(id)
+				break
+			}
+			w.part.Set(id, p.withWaiting(false))
+			w.dispatch(id, "")
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/finish.go
@@ -0,0 +1,205 @@
+package relay
+
+import (
+	"time"
+
+	"toucanpulley.example/internal/model"
+	"toucanpulley.example/internal/table"
+)
+
+// hedge is the system that asks a second searcher for a part whose first call
+// takes longer than most.
+func (w *World) hedge() {
+	for {
+		row, due := w.hedges.Due(w.now)
+		if !due {
+			return
+		}
+		p := w.part.Get(row)
+		if !w.parts.Has(row) || p.state != partOpen || len(p.live) != 1 {
+			continue
+		}
+		w.hedgePart(row, p)
+	}
+}
+
+func (w *World) hedgePart(row table.ID, p part) {
+	r := w.request.Get(p.request)
+	if p.runs >= r.route.Attempts || !w.now.Before(r.due) {
+		return
+	}
+	best, busy, ok := w.choose(r, p)
+	switch {
+	case !ok && busy:
+		w.hedges.Add(w.now.Add(hedgeRetry), row)
+	case !ok:
+		w.emit(Count{"hedge", "noReplica"})
+	case !w.service.Get(p.service).extras.Spend(w.now):
+		w.emit(Count{"hedge", "budgetExhausted"})
+		w.hedges.Add(w.now.Add(hedgeRetry), row)
+	default:
+		w.emit(Count{"hedge", "sent"})
+		w.note("second searcher asked", "request", r.ask.ID, "service", w.services.Key(p.service),
+			"searcher", w.searchers.Key(best), "elapsed", w.now.Sub(r.ask.Arrived))
+		w.request.Set(p.request, r.withHedge())
+		w.send(row, best, true)
+	}
+}
+
+// hedgeDelay returns how long a call of a request may take before a second
+// searcher is asked.
+func (w *World) hedgeDelay(r request) time.Duration {
+	usual, ok := w.class.Get(r.class).latency.Quantile(hedgeQuantile)
+	if !ok {
+		usual = 2 * firstGuess
+	}
+	most := time.Duration(float64(r.route.Target) * hedgeShare)
+	return max(min(usual, most), hedgeFloor)
+}
+
+// finish is the system that answers requests whose parts have outcomes.
+func (w *World) finish() {
+	settled := w.settled
+	w.settled = w.settled[:0]
+	for _, id := range settled {
+		if w.requests.Has(id) {
+			w.conclude(id)
+		}
+	}
+}
+
+// conclude answers a request as soon as more waiting cannot help it.
+func (w *World) conclude(id table.ID) {
+	r := w.request.Get(id)
+	required := r.route.Required()
+	switch {
+	case !r.route.Scattered():
+		w.concludeSingle(id, r)
+	case r.open == 0 && r.got >= required, r.got >= required && !w.now.Before(r.cutoff):
+		w.respond(id, w.merged(r))
+	case r.got+r.open < required:
+		w.respond(id, w.failure(r))
+	}
+}
+
+func (w *World) concludeSingle(id table.ID, r request) {
+	p := w.part.Get(r.parts[0])
+	switch {
+	case p.state == partOpen:
+	case p.state == partAnswered || p.reply.Signature != "":
+		w.respond(id, Answer{Kind: Relayed, Reply: p.reply})
+	default:
+		w.respond(id, w.failure(r))
+	}
+}
+
+// merged returns the answer of the parts that are there.
+func (w *World) merged(r request) Answer {
+	replies := make([]Reply, 0, r.got)
+	for _, row := range r.parts {
+		if p := w.part.Get(row); p.state == partAnswered {
+			replies = append(replies, p.reply)
+		}
+	}
+	return merge(replies, len(r.parts)-len(replies), r.route.Keep)
+}
+
+// failure returns the answer to a request that cannot be served.
+func (w *World) failure(r request) Answer {
+	reason := model.ReasonNoReplica
+	if !w.now.Before(r.due) {
+		reason = model.ReasonDeadlineExpired
+	}
+	refusal := model.NewRefusal(reason, "%d of %d parts were answered, %d are required", r.got, len(r.parts), r.route.Required())
+	return refused(refusal.WithExecution(r.execution())).WithRetryAfter(emptyRetry)
+}
+
+// expire is the system that ends requests at their cut-off or deadline.
+func (w *World) expire() {
+	for {
+		id, due := w.ends.Due(w.now)
+		if !due {
+			return
+		}
+		if !w.requests.Has(id) {
+			continue
+		}
+		r := w.request.Get(id)
+		switch {
+		case r.route.Scattered() && r.got >= r.route.Required():
+			w.respond(id, w.merged(r))
+		case !w.now.Before(r.due):
+			w.respond(id, w.failure(r))
+		}
+	}
+}
+
+// respond answers a request and removes it. Its calls linger.
+func (w *World) respond(id table.ID, a Answer) {
+	r := w.request.Get(id)
+	w.emit(Respond{Handle: r.ask.Handle, Answer: a})
+	w.noteAnswer(r, a)
+	for _, row := range r.parts {
+		w.abandon(w.part.Get(row))
+		w.parts.Remove(row)
+	}
+	w.requests.Remove(id)
+}
+
+func (w *World) noteAnswer(r request, a Answer) {
+	took := w.now.Sub(r.ask.Arrived)
+	facts := []any{
+		"request", r.ask.ID, "route", r.route.Name, "version", r.version, "took", took,
+		"hedges", r.hedges, "retries", r.retries,
+	}
+	switch a.Kind {
+	case Refused:
+		w.emit(Count{"refusal", string(a.Refusal.Reason)})
+		facts = append(facts, "outcome", "failed", "reason", a.Refusal.Reason, "execution", a.Refusal.Execution.String(),
+			"detail", a.Refusal.Detail)
+	case Merged:
+		w.emit(Observe{"merged", took})
+		facts = append(facts, "outcome", "merged", "parts", len(a.Signatures), "missing", a.Missing)
+	case Relayed:
+		w.emit(Observe{"relayed", took})
+		facts = append(facts, "outcome", "relayed", "status", a.Reply.Status)
+	}
+	if missing := w.missing(r); len(missing) > 0 {
+		facts = append(facts, "without", missing)
+	}
+	w.note("request answered", facts...)
+}
+
+// missing lists the services without a part and why.
+func (w *World) missing(r request) []string {
+	var list []string
+	for _, row := range r.parts {
+		p := w.part.Get(row)
+		if p.state == partAnswered {
+			continue
+		}
+		reason := string(p.reason)
+		if p.state == partOpen {
+			reason = string(model.MissingCutOff)
+		}
+		list = append(list, string(w.services.Key(p.service))+":"+reason)
+	}
+	return list
+}
+
+// linger is the system that cancels calls that nobody has waited for too long.
+func (w *World) linger() {
+	for {
+		id, due := w.lingers.Due(w.now)
+		if !due {
+			return
+		}
+		if !w.calls.Has(id) {
+			continue
+		}
+		c := w.call.Get(id)
+		w.emit(Count{"call", "cancelled"})
+		w.emit(CancelCall{Call: w.calls.Key(id)})
+		w.endCall(id, c, w.now.Sub(c.sent), true)
+	}
+}
--- /dev/null
+++ b/internal/relay/view.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"time"
+
+	"toucanpulley.example/internal/model"
+)
+
+// View is what control tells traffic: the configuration in force, the searchers
+// and the hosts. It is immutable.
+type View struct {
+	Configuration model.Configuration
+	Fleet         model.Fleet
+	// Hosts are the entry hosts that take callers, this one among them if it does.
+	Hosts []model.Member
+	// HostCount is the number of entry hosts that may hold connections, at least 1.
+	HostCount int
+	// Ready is set if this host takes callers; Reason tells why not.
+	Ready  bool
+	Reason string
+	// Leaving is set once this host shuts down.
+	Leaving bool
+	// ReadAt is when the configuration was last known to be current.
+	ReadAt time.Time
+}
+
+// WithConfiguration returns the view with another configuration.
+func (v View) WithConfiguration(c model.Configuration) View {
+	v.Configuration = c
+	return v
+}
+
+// WithFleet returns the view with other searchers.
+func (v View) WithFleet(f model.Fleet) View {
+	v.Fleet = f
+	return v
+}
+
+// WithHosts returns the view with other entry hosts.
+func (v View) WithHosts(hosts []model.Member, count int) View {
+	v.Hosts, v.HostCount = hosts, max(count, 1)
+	return v
+}
+
+// WithReady returns the view of a host that takes callers or does not.
+func (v View) WithReady(ready bool, reason string) View {
+	v.Ready, v.Reason = ready, reason
+	return v
+}
+
+// WithLeaving returns the view of a host that shuts down or does not.
+func (v View) WithLeaving(leaving bool) View {
+	v.Leaving = leaving
+	return v
+}
+
+// WithReadAt returns the view with the time at which the configuration was last
+// known to be current.
+func (v View) WithReadAt(t time.Time) View {
+	v.ReadAt = t
+	return v
+}
+
+// Bounds are the limits within which the host works. They come from the
+// settings of the deployment.
+type Bounds struct {
+	// RetryShare and RetrySlack bound the calls beyond the first of each request
+	// for one service in RetryWindow, over all hosts together.
+	RetryShare  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
--- /dev/null
+++ b/internal/wire/catalog.go
@@ -0,0 +1,85 @@
+package wire
+
+import (
+	"encoding/json"
+	"time"
+
+	"toucanpulley.example/internal/fault"
+	"toucanpulley.example/internal/feed"
+	"toucanpulley.example/internal/model"
+)
+
+// catalog is the JSON form of what one host gives another.
+type catalog struct {
+	Version   uint64         `json:"version"`
+	Limits    model.Limits   `json:"limits"`
+	Routes    []model.Route  `json:"routes"`
+	Services  []service      `json:"services"`
+	Fleet     uint64         `json:"fleet"`
+	Searchers []registration `json:"searchers"`
+}
+
+type service struct {
+	Name       string `json:"name"`
+	Cap        int    `json:"connectionCap,omitempty"`
+	HealthPath string `json:"healthPath,omitempty"`
+}
+
+type registration struct {
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Domain   string `json:"failureDomain"`
+	Slots    int    `json:"slots"`
+	Leaving  bool   `json:"leaving,omitempty"`
+	Born     int64  `json:"born"`
+	WarmUpMs int64  `json:"warmUpMs,omitempty"`
+	Revision uint64 `json:"revision"`
+}
+
+// EncodeCatalog returns the bytes of a catalog.
+func EncodeCatalog(c feed.Catalog) ([]byte, error) {
+	m := catalog{
+		Version: uint64(c.Configuration.Version), Limits: c.Configuration.Limits,
+		Routes: c.Configuration.Routes(), Fleet: c.Fleet.Revision,
+	}
+	for _, s := range c.Configuration.Services() {
+		m.Services = append(m.Services, service{Name: string(s.Name), Cap: s.ConnectionCap, HealthPath: s.HealthPath})
+	}
+	for _, r := range c.Fleet.Registrations {
+		m.Searchers = append(m.Searchers, registration{
+			ID: string(r.Searcher.ID), Service: string(r.Service), Address: string(r.Searcher.Address),
+			Domain: string(r.Searcher.FailureDomain), Slots: r.Searcher.Slots, Leaving: r.Searcher.Leaving,
+			Born: r.Born, WarmUpMs: r.WarmUp.Milliseconds(), Revision: r.Revision,
+		})
+	}
+	value, err := json.Marshal(m)
+	return value, fault.Wrap(err, "encode catalog", "")
+}
+
+// DecodeCatalog returns the catalog of bytes.
+func DecodeCatalog(value []byte) (feed.Catalog, error) {
+	var m catalog
+	if err := json.Unmarshal(value, &m); err != nil {
+		return feed.Catalog{}, fault.Wrap(err, "decode catalog", "")
+	}
+	services := make([]model.Service, 0, len(m.Services))
+	for _, s := range m.Services {
+		services = append(services, model.Service{Name: model.ServiceName(s.Name), ConnectionCap: s.Cap, HealthPath: s.HealthPath})
+	}
+	c := feed.Catalog{Fleet: model.Fleet{Revision: m.Fleet}}
+	if m.Version > 0 {
+		c.Configuration = model.NewConfiguration(model.Revision(m.Version), m.Routes, services, m.Limits)
+	}
+	for _, r := range m.Searchers {
+		c.Fleet.Registrations = append(c.Fleet.Registrations, model.Registration{
+			Searcher: model.Searcher{
+				ID: model.SearcherID(r.ID), Address: model.Address(r.Address), FailureDomain: model.FailureDomain(r.Domain),
+				Slots: r.Slots, Leaving: r.Leaving,
+			},
+			Service: model.ServiceName(r.Service), Born: r.Born,
+			WarmUp: time.Duration(r.WarmUpMs) * time.Millisecond, Revision: r.Revision,
+		})
+	}
+	return c, nil
+}
