Count a second call that waited for a connection as an extra one

Cause: a retry that found all connections busy was queued, and dispatched from the queue as a first call: it earned budget instead of spending it. Ruled out: the shares of hosts (12 were assumed or 6 known, both within the sum), hedges (always spent). Test: TestRetryThatWaitsCostsBudget fails without the change.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -79,7 +79,7 @@
 	}
 	w.request.Set(id, r)
 	for _, row := range r.parts {
-		w.dispatch(row, "")
+		w.dispatch(row)
 	}
 }
 
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -10,8 +10,7 @@
 
 // dispatch sends a call for an open part to the best searcher. Without a
 // usable searcher the part is missing; if all usable ones are busy, it waits.
-// A reason is given if the part was called before.
-func (w *World) dispatch(row table.ID, again model.RetryReason) {
+func (w *World) dispatch(row table.ID) {
 	p := w.part.Get(row)
 	r := w.request.Get(p.request)
 	best, busy, ok := w.choose(r, p)
@@ -26,15 +25,15 @@
 			reason = model.MissingNoReplica
 		}
 		w.settle(row, p.withMissing(reason))
-	case again != "" && !w.service.Get(p.service).extras.Spend(w.now):
+	case p.again != "" && !w.service.Get(p.service).extras.Spend(w.now):
 		w.emit(Count{"retry", "budgetExhausted"})
 		w.settle(row, p.withMissing(p.reason))
 	default:
-		if again != "" {
-			w.emit(Count{"retry", string(again)})
+		if p.again != "" {
+			w.emit(Count{"retry", string(p.again)})
 			w.request.Set(p.request, r.withRetry())
 			w.note("part sent again", "request", r.ask.ID, "service", w.services.Key(p.service),
-				"searcher", w.searchers.Key(best), "reason", again, "elapsed", w.now.Sub(r.ask.Arrived))
+				"searcher", w.searchers.Key(best), "reason", p.again, "elapsed", w.now.Sub(r.ask.Arrived))
 		} else {
 			w.service.Get(p.service).extras.Earn(w.now)
 		}
@@ -131,7 +130,7 @@
 				break
 			}
 			w.part.Set(id, p.withWaiting(false))
-			w.dispatch(id, "")
+			w.dispatch(id)
 		}
 	}
 }
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -136,7 +136,8 @@
 	case !r.route.Idempotent && p.runs > 0, p.runs >= r.route.Attempts, !w.now.Before(r.due):
 		w.settle(c.part, p.withMissing(missing))
 	default:
-		w.dispatch(c.part, again)
+		w.part.Set(c.part, p.withAgain(again))
+		w.dispatch(c.part)
 	}
 }
 
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -93,6 +93,8 @@
 	// runs counts the calls that may have run.
 	runs    int
 	waiting bool
+	// again is why the part needs another call; empty before the first one fails.
+	again model.RetryReason
 }
 
 func (p part) withCall(id, searcher table.ID) part {
@@ -125,6 +127,11 @@
 	return p
 }
 
+func (p part) withAgain(reason model.RetryReason) part {
+	p.again = reason
+	return p
+}
+
 func (p part) withWaiting(waiting bool) part {
 	p.waiting = waiting
 	return p
--- /dev/null
+++ b/internal/relay/world_test.go
@@ -0,0 +1,135 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanpulley.example/internal/model"
+)
+
+// lane drives a world with a clock that the test moves.
+type lane struct {
+	*World
+	at     time.Time
+	handle Handle
+	// sent holds the calls in the order in which they were started, answers what
+	// requests were told.
+	sent      []StartCall
+	answers   map[Handle]Answer
+	cancelled []CallID
+}
+
+// newLane returns a world in failure domain d1 with the given shards, each with
+// one searcher in d1 and one in d2, and two routes: /all/ to all shards, /one/
+// to the first service, which is not idempotent.
+func newLane(shards int, change func(*View, *model.Route)) *lane {
+	l := &lane{World: NewWorld("host-1", "d1"), at: time.Unix(1000, 0), answers: map[Handle]Answer{}}
+	l.Bounds = Bounds{RetryShare: 0.2, RetrySlack: 40, RetryWindow: 10 * time.Second}
+	route := model.Route{
+		Name: "all", Host: "h", Prefix: "/all/", Idempotent: true, Timeout: time.Second,
+		Target: 150 * time.Millisecond, Attempts: 2, Keep: 3, MinCoverage: 0.5,
+	}
+	var services []model.Service
+	v := View{HostCount: 1, Ready: true}
+	for i := range shards {
+		name := model.ServiceName(fmt.Sprintf("shard-%d", i))
+		route.Shards = append(route.Shards, name)
+		services = append(services, model.Service{Name: name, ConnectionCap: 20})
+		for _, domain := range []string{"d1", "d2"} {
+			v.Fleet.Registrations = append(v.Fleet.Registrations, registration(string(name), domain))
+		}
+	}
+	single := model.Route{
+		Name: "one", Host: "h", Prefix: "/one/", Timeout: time.Second, Target: 500 * time.Millisecond,
+		Attempts: 2, Shares: []model.Share{{Service: "shard-0", Weight: 1}},
+	}
+	if change != nil {
+		change(&v, &route)
+	}
+	v.Configuration = model.NewConfiguration(1, []model.Route{route, single}, services, model.Limits{})
+	l.tick(ViewChanged{View: v})
+	return l
+}
+
+func registration(service, domain string) model.Registration {
+	id := model.SearcherID(service + "/" + domain)
+	return model.Registration{
+		Searcher: model.Searcher{ID: id, Address: model.Address(id), FailureDomain: model.FailureDomain(domain), Slots: 2},
+		Service:  model.ServiceName(service), Born: 1,
+	}
+}
+
+func (l *lane) tick(events ...Event) {
+	for _, c := range l.Tick(l.at, events) {
+		switch c := c.(type) {
+		case StartCall:
+			l.sent = append(l.sent, c)
+		case CancelCall:
+			l.cancelled = append(l.cancelled, c.Call)
+		case Respond:
+			l.answers[c.Handle] = c.Answer
+		}
+	}
+}
+
+// wait moves the clock to each deadline up to the given time from now.
+func (l *lane) wait(d time.Duration) {
+	end := l.at.Add(d)
+	for next := l.Next(); !next.IsZero() && !next.After(end); next = l.Next() {
+		l.at = next
+		l.tick()
+	}
+	l.at = end
+	l.tick()
+}
+
+// ask sends a request and returns its handle.
+func (l *lane) ask(path string) Handle {
+	l.handle++
+	l.tick(Arrived{Request: Request{
+		Handle: l.handle, ID: model.RequestID(fmt.Sprint("r-", l.handle)), Host: "h", Path: path, Arrived: l.at,
+	}})
+	return l.handle
+}
+
+// reply answers a call with records.
+func (l *lane) reply(c StartCall, body string) {
+	l.tick(Replied{Call: c.Call, Reply: Reply{Status: 200, Signature: "s-" + string(c.Searcher.ID), Body: []byte(body)}})
+}
+
+// shed answers a call with proof that it did not run.
+func (l *lane) shed(c StartCall) {
+	l.tick(Replied{Call: c.Call, Reply: Reply{Status: 503, NotRun: true}})
+}
+
+// last returns the call that was started last.
+func (l *lane) last() StartCall { return l.sent[len(l.sent)-1] }
+
+// left returns how many extra calls the budget of a service still allows.
+func (l *lane) left(name model.ServiceName) float64 {
+	id, _ := l.services.Find(name)
+	return l.service.Get(id).extras.Left(l.at)
+}
+
+// TestRetryThatWaitsCostsBudget guards against a second call that first waits
+// for a connection and is then counted as a first one, which once let a service
+// get more calls than the budget of all hosts allows.
+func TestRetryThatWaitsCostsBudget(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, func(v *View, _ *model.Route) { v.HostCount = 18 }) // one connection to each searcher
+	l.ask("/all/a")
+	first := l.last()
+	l.ask("/all/b") // takes the only connection to the other searcher
+	second := l.last()
+	is.True(first.Searcher.ID != second.Searcher.ID)
+	before := l.left("shard-0")
+	l.shed(first) // its part must wait for the other searcher
+	is.Equal(len(l.sent), 2)
+	l.reply(second, "")
+	is.Equal(len(l.sent), 3)
+	is.Equal(l.last().Searcher.ID, second.Searcher.ID)
+	is.Equal(l.left("shard-0"), before-1)
+}
