Read all topics anew once the store has lost its history

Cause: the watch of the configuration waited through a time in which the store told watches nothing, and noticed its end only by its own timeout, 5 s later, although the watch of the searchers had learned that history was gone. Ruled out: an empty answer that skips a change (the answers were errors), peers (all hosts were behind). Calls are numbered, so that a watch that was given up is not taken for its successor. Test: TestLostHistoryRestartsAllTopics fails without the change.

--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -152,10 +152,12 @@
 	switch c := c.(type) {
 	case feed.Read:
 		r.Meter.Count("platformCall", "read")
-		r.wait.Go(func() { r.tell(r.Source.Read(r.ctx, c.Topic)) })
+		r.wait.Go(func() { r.tell(feed.Result{Topic: c.Topic, Turn: c.Turn, Event: r.Source.Read(r.ctx, c.Topic)}) })
 	case feed.Watch:
 		r.Meter.Count("platformCall", "watch")
-		r.wait.Go(func() { r.tell(r.Source.Watch(r.ctx, c.Topic, c.After)) })
+		r.wait.Go(func() {
+			r.tell(feed.Result{Topic: c.Topic, Turn: c.Turn, Event: r.Source.Watch(r.ctx, c.Topic, c.After)})
+		})
 	case feed.PullFrom:
 		r.wait.Go(func() { r.tell(r.pull(c.Peer)) })
 	case feed.Note:
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -13,8 +13,8 @@
 //		// read and watch topics, pull from peers, adopt beliefs
 //	}
 //
-// The world does no I/O. Whoever carries out Read, Watch or PullFrom reports
-// the result, or Failed, once.
+// The world does no I/O. Whoever carries out Read or Watch reports a Result, and
+// whoever carries out PullFrom reports Pulled or PullFailed, once.
 package feed
 
 import (
@@ -61,27 +61,32 @@
 // Event is something that happened since the last tick.
 type Event interface{ event() }
 
+// Result is what came of a Read or Watch.
+type Result struct {
+	Topic Topic
+	// Turn is that of the command. A result of an earlier turn is ignored.
+	Turn  uint64
+	Event Event
+}
+
 // ConfigurationRead is the configuration as of a revision of the store. Known
 // is false if the store holds none.
 type ConfigurationRead struct {
 	Known         bool
 	Configuration model.Configuration
 	AsOf          uint64
-	Begun         time.Time
 }
 
 // FleetRead is a full list of searchers.
 type FleetRead struct {
 	Registrations []model.Registration
 	AsOf          uint64
-	Begun         time.Time
 }
 
 // FleetChanged are the changes that a watch brought, none if its time ran out.
 type FleetChanged struct {
 	Changes []Change
 	AsOf    uint64
-	Begun   time.Time
 }
 
 // HostsRead are the entry hosts that have announced themselves.
@@ -89,7 +94,6 @@
 
 // Failed is a read or watch without a result.
 type Failed struct {
-	Topic Topic
 	// HistoryLost is set if the store no longer has the changes asked for.
 	HistoryLost bool
 	// Begun is when the call began.
@@ -115,6 +119,7 @@
 // Woke tells that the process was paused, so that beliefs may be old.
 type Woke struct{}
 
+func (Result) event()            {}
 func (ConfigurationRead) event() {}
 func (FleetRead) event()         {}
 func (FleetChanged) event()      {}
@@ -129,11 +134,15 @@
 type Command interface{ command() }
 
 // Read reads a topic in full.
-type Read struct{ Topic Topic }
+type Read struct {
+	Topic Topic
+	Turn  uint64
+}
 
 // Watch waits for changes of a topic after a revision.
 type Watch struct {
 	Topic Topic
+	Turn  uint64
 	After uint64
 }
 
--- a/internal/feed/receive.go
+++ b/internal/feed/receive.go
@@ -13,21 +13,39 @@
 
 // receive is the system that applies what the store answered.
 func (w *World) receive() {
-	for _, e := range w.inbox {
-		switch e := e.(type) {
-		case ConfigurationRead:
-			w.readConfiguration(e)
-		case FleetRead:
-			w.readFleet(e)
-		case FleetChanged:
-			w.changeFleet(e)
-		case HostsRead:
-			w.readHosts(e)
-		case Failed:
-			w.fail(e)
-		case Woke:
-			w.wake()
+	tick.Each(w.inbox, func(e Result) {
+		if _, cell := w.row(e.Topic); cell.busy && cell.turn == e.Turn {
+			w.apply(e)
 		}
+	})
+	tick.Each(w.inbox, func(Woke) {
+		w.warn("process was paused; reading anew")
+		w.restart()
+	})
+}
+
+// apply takes the result of the call that is out for a topic.
+func (w *World) apply(r Result) {
+	switch e := r.Event.(type) {
+	case ConfigurationRead:
+		w.readConfiguration(e)
+	case FleetRead:
+		w.readFleet(e)
+	case FleetChanged:
+		w.changeFleet(e)
+	case HostsRead:
+		w.readHosts(e)
+	case Failed:
+		w.fail(r.Topic, e)
+	}
+}
+
+// restart has configuration and searchers read in full. Watches that are out
+// are given up: they may never hear of what they have missed.
+func (w *World) restart() {
+	for _, t := range []Topic{Configuration, Searchers} {
+		id, cell := w.row(t)
+		w.topic.Set(id, cell.withoutHistory(w.now))
 	}
 }
 
@@ -37,9 +55,9 @@
 }
 
 // succeed notes an answer of the store for a topic.
-func (w *World) succeed(t Topic, asOf uint64, begun, next time.Time) {
+func (w *World) succeed(t Topic, asOf uint64, next time.Time) {
 	id, cell := w.row(t)
-	w.topic.Set(id, cell.withResult(asOf, begun, next))
+	w.topic.Set(id, cell.withResult(asOf, next))
 	if !w.away {
 		return
 	}
@@ -54,7 +72,7 @@
 func (w *World) readConfiguration(e ConfigurationRead) {
 	id, cell := w.row(Configuration)
 	followed := cell.known
-	w.succeed(Configuration, e.AsOf, e.Begun, w.now)
+	w.succeed(Configuration, e.AsOf, w.now)
 	if e.Known {
 		w.adoptConfiguration(e.Configuration, "platform")
 		return
@@ -80,7 +98,7 @@
 }
 
 func (w *World) readFleet(e FleetRead) {
-	w.succeed(Searchers, e.AsOf, e.Begun, w.now)
+	w.succeed(Searchers, e.AsOf, w.now)
 	w.replaceFleet(e.Registrations, e.AsOf, "platform")
 }
 
@@ -106,7 +124,7 @@
 		next = w.now.Add(watchGap)
 		w.fleet = max(w.fleet, e.AsOf)
 	}
-	w.succeed(Searchers, e.AsOf, e.Begun, next)
+	w.succeed(Searchers, e.AsOf, next)
 	for _, c := range e.Changes {
 		if !c.Removed {
 			w.register(c.Registration)
@@ -165,36 +183,27 @@
 
 func (w *World) readHosts(e HostsRead) {
 	id, cell := w.row(Hosts)
-	w.topic.Set(id, cell.withResult(0, w.now, w.now))
+	w.topic.Set(id, cell.withResult(0, w.now))
 	w.emit(Contacts(e))
 }
 
-func (w *World) fail(e Failed) {
-	id, cell := w.row(e.Topic)
+func (w *World) fail(t Topic, e Failed) {
+	id, cell := w.row(t)
 	if e.HistoryLost {
-		w.note("history of the platform is gone; reading anew", "topic", e.Topic.String(), "after", cell.asOf)
-		w.topic.Set(id, cell.withoutHistory(w.now))
+		// Watches of other topics may have missed changes as well and wait on.
+		w.note("history of the platform is gone; reading anew", "topic", t.String(), "after", cell.asOf)
+		w.restart()
 		return
 	}
 	next := w.backoff(cell.failures)
-	if e.Topic == Hosts {
+	if t == Hosts {
 		next = w.now.Add(hostsRetry)
 	}
 	w.topic.Set(id, cell.withFailure(next))
 	if !w.away {
 		w.away, w.awaySince = true, e.Begun
-		w.warn("platform lost", "topic", e.Topic.String(), "cause", e.Cause, "since", w.now.Sub(e.Begun))
-	}
-}
-
-// wake makes both topics be read in full after a pause of the process.
-func (w *World) wake() {
-	for _, t := range []Topic{Configuration, Searchers} {
-		if id, cell := w.row(t); !cell.busy {
-			w.topic.Set(id, cell.withoutHistory(w.now))
-		}
+		w.warn("platform lost", "topic", t.String(), "cause", e.Cause, "since", w.now.Sub(e.Begun))
 	}
-	w.warn("process was paused; reading anew")
 }
 
 // hearPeers is the system that notes which peers know more.
--- a/internal/feed/world.go
+++ b/internal/feed/world.go
@@ -37,23 +37,23 @@
 type topic struct {
 	known bool
 	asOf  uint64
-	// busy is set while a call is out, begun is when it began.
+	// busy is set while a call is out; turn numbers the calls, so that a call
+	// that is given up is not taken for its successor.
 	busy     bool
-	begun    time.Time
+	turn     uint64
 	failures int
 	// next is when the next call may begin.
 	next time.Time
-	// goodAt is when the last call that succeeded began.
-	goodAt time.Time
 }
 
-func (t topic) withCall(now time.Time) topic {
-	t.busy, t.begun = true, now
+func (t topic) withCall() topic {
+	t.busy = true
+	t.turn++
 	return t
 }
 
-func (t topic) withResult(asOf uint64, begun, next time.Time) topic {
-	t.busy, t.known, t.failures, t.next, t.goodAt = false, true, 0, next, begun
+func (t topic) withResult(asOf uint64, next time.Time) topic {
+	t.busy, t.known, t.failures, t.next = false, true, 0, next
 	t.asOf = max(t.asOf, asOf)
 	return t
 }
@@ -64,7 +64,8 @@
 	return t
 }
 
-// withoutHistory returns the topic to be read in full.
+// withoutHistory returns the topic to be read in full. A call that is out is
+// given up.
 func (t topic) withoutHistory(now time.Time) topic {
 	t.busy, t.known, t.asOf, t.next = false, false, 0, now
 	return t
@@ -165,11 +166,13 @@
 		case w.now.Before(t.next):
 			w.alarm.At(t.next)
 		case !t.known:
-			w.topic.Set(id, t.withCall(w.now))
-			w.emit(Read{Topic: name})
+			t = t.withCall()
+			w.topic.Set(id, t)
+			w.emit(Read{Topic: name, Turn: t.turn})
 		default:
-			w.topic.Set(id, t.withCall(w.now))
-			w.emit(Watch{Topic: name, After: t.asOf})
+			t = t.withCall()
+			w.topic.Set(id, t)
+			w.emit(Watch{Topic: name, Turn: t.turn, After: t.asOf})
 		}
 	}
 }
--- /dev/null
+++ b/internal/feed/world_test.go
@@ -0,0 +1,183 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanpulley.example/internal/model"
+)
+
+// host drives a world with a clock that the test moves.
+type host struct {
+	*World
+	at       time.Time
+	commands []Command
+}
+
+func newHost() *host {
+	h := &host{World: NewWorld(), at: time.Unix(1000, 0)}
+	h.tick()
+	return h
+}
+
+func (h *host) tick(events ...Event) {
+	h.commands = append(h.commands, h.Tick(h.at, events)...)
+}
+
+// wait moves the clock to each deadline up to the given time from now.
+func (h *host) wait(d time.Duration) {
+	end := h.at.Add(d)
+	for next := h.Next(); !next.IsZero() && !next.After(end); next = h.Next() {
+		h.at = next
+		h.tick()
+	}
+	h.at = end
+	h.tick()
+}
+
+// turn returns the turn of the latest call for a topic and whether it is a read.
+func (h *host) turn(t Topic) (turn uint64, read bool) {
+	for _, c := range h.commands {
+		switch c := c.(type) {
+		case Read:
+			if c.Topic == t && c.Turn > turn {
+				turn, read = c.Turn, true
+			}
+		case Watch:
+			if c.Topic == t && c.Turn > turn {
+				turn, read = c.Turn, false
+			}
+		}
+	}
+	return turn, read
+}
+
+// result ends the latest call for a topic.
+func (h *host) result(t Topic, e Event) {
+	turn, _ := h.turn(t)
+	h.tick(Result{Topic: t, Turn: turn, Event: e})
+}
+
+// start lets both topics be known.
+func (h *host) start(version model.Revision, searchers ...model.SearcherID) {
+	h.result(Configuration, ConfigurationRead{Known: true, Configuration: configuration(version), AsOf: 10})
+	h.result(Searchers, FleetRead{Registrations: registrations(searchers...), AsOf: 10})
+}
+
+// believed returns the catalog adopted last.
+func (h *host) believed() Catalog {
+	var c Catalog
+	for _, command := range h.commands {
+		if a, ok := command.(Adopt); ok {
+			c = a.Catalog
+		}
+	}
+	return c
+}
+
+func (h *host) searchers() map[model.SearcherID]bool {
+	ids := map[model.SearcherID]bool{}
+	for _, r := range h.believed().Fleet.Registrations {
+		ids[r.Searcher.ID] = true
+	}
+	return ids
+}
+
+func configuration(version model.Revision) model.Configuration {
+	return model.NewConfiguration(version, nil, nil, model.Limits{})
+}
+
+func registrations(ids ...model.SearcherID) []model.Registration {
+	var list []model.Registration
+	for _, id := range ids {
+		list = append(list, model.Registration{Searcher: model.Searcher{ID: id}, Service: "s", Born: 1})
+	}
+	return list
+}
+
+// TestLostHistoryRestartsAllTopics guards against a watch that was deaf while
+// history was dropped: the configuration stayed five seconds behind because only
+// the topic that noticed was read anew.
+func TestLostHistoryRestartsAllTopics(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	h.start(3, "a")
+	deaf, read := h.turn(Configuration)
+	is.True(!read)
+	h.result(Searchers, Failed{HistoryLost: true, Begun: h.at})
+	turn, read := h.turn(Configuration)
+	is.True(read && turn > deaf) // the configuration is read anew as well
+	h.result(Configuration, ConfigurationRead{Known: true, Configuration: configuration(6), AsOf: 20})
+	is.Equal(h.believed().Configuration.Version, model.Revision(6))
+	// The watch that was given up ends late and must not count as the new one.
+	h.tick(Result{Topic: Configuration, Turn: deaf, Event: Failed{Begun: h.at, Cause: "timeout"}})
+	is.True(!h.Away())
+}
+
+// TestConfigurationNeverGoesBack guards against an old copy of a peer or a stale
+// read that replaces a newer configuration.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	h.start(6, "a")
+	h.tick(Pulled{Peer: "p", Catalog: Catalog{Configuration: configuration(5), Fleet: model.Fleet{Revision: 1}}})
+	h.result(Configuration, ConfigurationRead{Known: true, Configuration: configuration(4), AsOf: 30})
+	is.Equal(h.believed().Configuration.Version, model.Revision(6))
+	is.True(h.searchers()["a"]) // the older fleet of the peer is ignored as well
+}
+
+// TestEntriesMissingAfterAnOutageMayComeBack guards against dropping searchers
+// whose entries lapsed only because the store was away.
+func TestEntriesMissingAfterAnOutageMayComeBack(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	h.start(1, "a", "b", "c")
+	begun := h.at
+	h.wait(4 * time.Second)
+	h.result(Searchers, Failed{Begun: begun, Cause: "reset"})
+	is.True(h.Away())
+	h.wait(time.Second)
+	h.result(Searchers, Failed{HistoryLost: true, Begun: h.at})
+	h.result(Searchers, FleetRead{Registrations: registrations("a"), AsOf: 50})
+	is.Equal(len(h.searchers()), 3) // b and c have time to register again
+	h.wait(time.Second)
+	h.result(Searchers, FleetChanged{Changes: []Change{{Registration: registrations("b")[0]}}, AsOf: 60})
+	h.wait(2 * time.Second)
+	is.Equal(h.searchers(), map[model.SearcherID]bool{"a": true, "b": true})
+}
+
+// TestRemovedEntryIsGoneAtOnce guards against work for a searcher that has left
+// while the store was there all the time.
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	h.start(1, "a", "b")
+	h.result(Searchers, FleetChanged{Changes: []Change{{Registration: registrations("b")[0], Removed: true}}, AsOf: 11})
+	is.Equal(h.searchers(), map[model.SearcherID]bool{"a": true})
+}
+
+// TestPeerHelpsWhileStoreIsAway guards against a fresh process that serves
+// nothing during an outage although its peers know everything.
+func TestPeerHelpsWhileStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	for _, topic := range []Topic{Configuration, Searchers, Hosts} {
+		h.result(topic, Failed{Begun: h.at, Cause: "refused"})
+	}
+	h.tick(PeerSeen{Peer: model.Host{ID: "p"}, Digest: Digest{Version: 4, Fleet: 9, Hash: 1}})
+	h.wait(100 * time.Millisecond)
+	pulled := false
+	for _, c := range h.commands {
+		if p, ok := c.(PullFrom); ok {
+			pulled = p.Peer.ID == "p"
+		}
+	}
+	is.True(pulled)
+	h.tick(Pulled{Peer: "p", Catalog: Catalog{
+		Configuration: configuration(4), Fleet: model.Fleet{Revision: 9, Registrations: registrations("a")},
+	}})
+	is.Equal(h.believed().Configuration.Version, model.Revision(4))
+	is.True(h.searchers()["a"])
+}
