Let two hosts of a large failure domain follow the store and tell the others

Hosts that do not follow the store learn from digests and ask it themselves once they heard of no current belief for 3 s. Idle connections beyond a bound are closed, and the pause before connections are opened again doubles while they end unused.

--- a/internal/conf/relay.go
+++ b/internal/conf/relay.go
@@ -26,8 +26,12 @@
 	// Seeds are peer addresses for first contact.
 	Seeds    []model.Address
 	LogLevel string
-	// Cores is the number of processor cores, MemoryMB the memory in megabytes.
+	// Cores is the number of processor cores that run at once, CPUShare the part
+	// of them that the process gets.
 	Cores    int
+	CPUShare float64
+	// LinkMbps is the bandwidth of the machine's link, MemoryMB its memory.
+	LinkMbps float64
 	MemoryMB int
 	// AddressTTL is how long callers may keep an address answer.
 	AddressTTL time.Duration
@@ -51,8 +55,20 @@
 	defaultRetryShare  = 0.2
 	defaultRetrySlack  = 10
 	defaultRelayMemory = 256
+	defaultLinkMbps    = 1000
+	maxLinkMbps        = 1_000_000
 )
 
+// corePerMbps is the capacity in thousandths of a core that one Mbit/s of a
+// link can use: a core relays about 250 Mbit/s of small replies.
+const corePerMbps = 4
+
+// Capacity returns the strength of the host in thousandths of a core, or what
+// its link can use if that is less.
+func (s Relay) Capacity() int {
+	return int(min(s.CPUShare*float64(s.Cores)*1000, s.LinkMbps*corePerMbps))
+}
+
 // LoadRelay reads and checks the settings file of a relaying host.
 func LoadRelay(name string) (Relay, error) {
 	data, err := os.ReadFile(name)
@@ -79,7 +95,9 @@
 		Peer: model.Address(r.address("peerAddress")), Metrics: model.Address(r.address("metricsAddress")),
 		Platform: model.Address(r.address("platform")),
 		LogLevel: r.word("logLevel", "info", "trace", "debug", "info", "warn", "error"),
-		Cores:    r.number("cores", 1, maxLanes), MemoryMB: r.number("memoryMb", defaultRelayMemory, maxMemoryMB),
+		Cores:    r.number("cores", 1, maxLanes),
+		CPUShare: r.fraction("cpuShare", 1, 0, 1), LinkMbps: r.fraction("linkMbps", defaultLinkMbps, 0, maxLinkMbps),
+		MemoryMB:   r.number("memoryMb", defaultRelayMemory, maxMemoryMB),
 		AddressTTL: ms("addressTtlMs", defaultAddressTTL), Grace: ms("graceMs", defaultGraceMs),
 		RetryShare:  r.fraction("retryShare", defaultRetryShare, 0, 1),
 		RetrySlack:  r.fraction("retrySlack", defaultRetrySlack, 0, maxRetrySlack),
--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -24,8 +24,10 @@
 	usedAt   time.Time
 	keep     time.Duration
 	shutdown bool
-	// counted is set while the connection counts as open at its peer.
+	// counted is set while the connection counts as open at its peer, worked once
+	// it carried a call.
 	counted bool
+	worked  bool
 }
 
 // open starts to open a connection. The caller holds the lock.
@@ -56,6 +58,7 @@
 func (p *Pool) openFailed(s *peer, err error) {
 	p.mu.Lock()
 	s.open--
+	s.wasted++
 	var t *transfer
 	if len(s.waiting) > 0 {
 		t, s.waiting = s.waiting[0], s.waiting[1:]
@@ -77,7 +80,7 @@
 		return
 	}
 	s.reopening = true
-	time.AfterFunc(reopenDelay, func() {
+	time.AfterFunc(min(reopenDelay<<min(s.wasted, 10), reopenMost), func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		s.reopening = false
@@ -209,6 +212,7 @@
 	p.mu.Lock()
 	_, live := p.active[t.call.Call]
 	delete(p.active, t.call.Call)
+	c.worked, c.peer.wasted = true, 0
 	if outcome.Idle > 0 {
 		c.keep = max(outcome.Idle-idleMargin, 0)
 	}
@@ -232,6 +236,9 @@
 func (c *conn) end(t *transfer, failure model.Failure, err error) {
 	p := c.pool
 	p.mu.Lock()
+	if !c.shutdown && !c.worked {
+		c.peer.wasted++
+	}
 	c.shut()
 	p.release(c)
 	p.mu.Unlock()
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -41,8 +41,10 @@
 	// close can be on the way.
 	idleMargin = 500 * time.Millisecond
 	// reopenDelay is the pause before a lost connection is opened again ahead of
-	// need.
+	// need. It doubles up to reopenMost with each connection that ends before it
+	// carried a call, as those beyond a searcher's bound do.
 	reopenDelay = 300 * time.Millisecond
+	reopenMost  = 10 * time.Second
 	// unackedTime is how long sent bytes may stay without an acknowledgement
 	// before a connection counts as broken (TCP_USER_TIMEOUT).
 	unackedTime = 2 * time.Second
@@ -152,8 +154,10 @@
 	open    int
 	idle    []*conn
 	waiting []*transfer
-	// reopening is set while a timer will open connections ahead of need.
+	// reopening is set while a timer will open connections ahead of need, wasted
+	// counts the connections in a row that ended before they carried a call.
 	reopening bool
+	wasted    int
 }
 
 // Follow applies the searchers that are in use and their bounds. Connections to
@@ -172,6 +176,7 @@
 			p.peers[id] = s
 		}
 		s.limits, s.used = limits, true
+		s.trim()
 		p.openAhead(s)
 	}
 	for id, s := range p.peers {
@@ -191,9 +196,17 @@
 	delete(p.peers, id)
 }
 
+// trim closes idle connections beyond the bound. Their goroutines count them out.
+func (s *peer) trim() {
+	for extra := s.open - s.limits.Most; extra > 0 && len(s.idle) > 0; extra-- {
+		s.idle[0].shut()
+		s.idle = s.idle[1:]
+	}
+}
+
 // openAhead opens connections until the number kept ahead of need is reached.
 func (p *Pool) openAhead(s *peer) {
-	for !p.closed && s.used && s.open < s.limits.Ahead {
+	for !p.closed && s.used && !s.reopening && s.open < s.limits.Ahead {
 		p.open(s)
 	}
 }
--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -22,7 +22,13 @@
 	relayFanout = 3
 	// unknownHosts is the number of hosts assumed while no peer has told its
 	// members. Connection shares and retry budgets must not be too large then.
-	unknownHosts = 12
+	unknownHosts = 64
+	// aloneAfter is when a host that found no peer believes that there is none.
+	aloneAfter = 5 * time.Second
+	// watchersPerDomain hosts of each failure domain follow the store by
+	// themselves, or all if there are at most allWatch.
+	watchersPerDomain = 2
+	allWatch          = 3
 )
 
 // FeedEvent is an event for package feed.
@@ -61,7 +67,9 @@
 	member  *table.Column[model.Member]
 	self    member.SelfChanged
 	leaving bool
-	listed  bool
+	begun   time.Time
+	alone   bool
+	place   feed.Placed
 
 	rounds       int
 	nextAnnounce time.Time
@@ -83,12 +91,15 @@
 	}
 	w.Feed.Random = rand.New(rand.NewPCG(seed, incarnation))
 	w.member = table.NewColumn[model.Member](w.members)
-	w.systems = []func(){w.receive, w.tickMember, w.tickFeed, w.changeSelf, w.announce, w.publish}
+	w.systems = []func(){w.receive, w.tickMember, w.assign, w.tickFeed, w.changeSelf, w.announce, w.publish}
 	return w
 }
 
 // Tick runs every system over the events and returns commands.
 func (w *Relay) Tick(now time.Time, inbox []Event) []Command {
+	if w.begun.IsZero() {
+		w.begun = now
+	}
 	w.now, w.inbox, w.out = now, inbox, nil
 	w.alarm.Reset()
 	for _, system := range w.systems {
@@ -135,9 +146,34 @@
 	if g.Sender.Host.ID == w.Self.ID {
 		return
 	}
-	w.forFeed = append(w.forFeed, feed.PeerSeen{Peer: g.Sender.Host, Digest: feed.Digest{
-		Version: g.Digest.Revision, Fleet: g.Digest.Indexes, Hash: g.Digest.Leaving,
-	}})
+	d := feed.Digest{Version: g.Digest.Revision, Fleet: g.Digest.Indexes, Hash: g.Digest.Leaving, Age: feed.NeverCurrent}
+	if g.Digest.SettingsAge >= 0 {
+		d.Age = time.Duration(g.Digest.SettingsAge) * time.Millisecond
+	}
+	w.forFeed = append(w.forFeed, feed.PeerSeen{Peer: g.Sender.Host, Digest: d})
+}
+
+// assign is the system that decides whether this host follows the store by
+// itself: the first few of its failure domain do, in an order by hash.
+func (w *Relay) assign() {
+	place := feed.Placed{Joined: w.Member.Joined()}
+	ahead, domain := 0, 0
+	self := xxhash.Sum64String(string(w.Self.ID))
+	for id := range w.members.All() {
+		m := w.member.Get(id)
+		if !live(m) || m.Host.FailureDomain != w.Self.FailureDomain {
+			continue
+		}
+		domain++
+		if xxhash.Sum64String(string(m.Host.ID)) < self {
+			ahead++
+		}
+	}
+	place.Watch = ahead < watchersPerDomain || domain <= allWatch
+	if place != w.place {
+		w.place = place
+		w.forFeed = append(w.forFeed, place)
+	}
 }
 
 // tickMember is the system that ticks the membership.
@@ -190,8 +226,9 @@
 			if c.Changed {
 				w.rounds, w.nextAnnounce = max(w.rounds, 1), w.now
 			}
+		case feed.Tell:
+			w.tell()
 		case feed.Contacts:
-			w.listed = true
 			w.forMember = append(w.forMember, member.Listed{Hosts: c.Hosts})
 			w.tickMember()
 		default:
@@ -202,12 +239,16 @@
 
 // gossip returns what a message carries besides changes of members.
 func (w *Relay) gossip(changes []model.Member) Gossip {
-	d := w.Feed.Digest()
+	d := w.Feed.Digest(w.now)
+	age := int64(-1)
+	if d.Age != feed.NeverCurrent {
+		age = d.Age.Milliseconds()
+	}
 	return Gossip{
 		Sender: w.Member.Self(), Hash: w.Member.Hash(), Changes: changes,
 		Digest: spread.Digest{
 			Revision: d.Version, Indexes: d.Fleet, Leaving: d.Hash,
-			PlatformAge: -1, SettingsAge: -1, FleetAge: -1, Ready: w.view.Ready,
+			PlatformAge: -1, SettingsAge: age, FleetAge: -1, Ready: w.view.Ready,
 		},
 	}
 }
@@ -249,6 +290,16 @@
 		w.alarm.At(w.nextAnnounce)
 		return
 	}
+	w.tell()
+	w.rounds--
+	if w.rounds > 0 {
+		w.nextAnnounce = w.now.Add(announceGap + time.Duration(w.Random.Int64N(int64(announceGap))))
+		w.alarm.At(w.nextAnnounce)
+	}
+}
+
+// tell pushes what this host holds to a few peers.
+func (w *Relay) tell() {
 	var list []model.Host
 	for id := range w.members.All() {
 		if m := w.member.Get(id); m.Host.ID != w.Self.ID && live(m) {
@@ -259,11 +310,6 @@
 	for _, h := range list[:min(len(list), relayFanout)] {
 		w.emit(PushTo{Peer: h, Gossip: w.gossip(nil)})
 	}
-	w.rounds--
-	if w.rounds > 0 {
-		w.nextAnnounce = w.now.Add(announceGap + time.Duration(w.Random.Int64N(int64(announceGap))))
-		w.alarm.At(w.nextAnnounce)
-	}
 }
 
 // live reports whether a member may answer. A suspect counts, as most suspicions
@@ -274,9 +320,14 @@
 
 // publish is the system that builds a new view if anything changed.
 func (w *Relay) publish() {
-	if !w.dirty {
+	alone := !w.Member.Joined() && !w.now.Before(w.begun.Add(aloneAfter))
+	if !w.Member.Joined() && !alone {
+		w.alarm.At(w.begun.Add(aloneAfter))
+	}
+	if !w.dirty && alone == w.alone {
 		return
 	}
+	w.alone = alone
 	w.dirty = false
 	var serving []model.Member
 	known := 0
@@ -289,10 +340,10 @@
 			serving = append(serving, m)
 		}
 	}
-	if !w.Member.Joined() && !w.listed {
+	if !w.Member.Joined() && !alone {
 		known = max(known, unknownHosts)
 	}
 	slices.SortFunc(serving, func(a, b model.Member) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
-	w.view = w.view.WithHosts(serving, known)
+	w.view = w.view.WithHosts(serving, known).WithCarriers()
 	w.emit(PublishRelay{View: w.view})
 }
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -86,7 +86,6 @@
 	r.wait.Go(func() { _ = r.lane.loop.Run(ctx) })
 	r.wait.Go(func() { _ = r.control.Run(ctx) })
 	r.wait.Go(func() { r.peers.run(listener) })
-	r.wait.Go(r.announce)
 	close(r.started)
 	// The first tick asks for everything that is not known.
 	r.control.Send(ctrl.FeedEvent{Event: nil})
@@ -158,6 +157,8 @@
 		r.wait.Go(func() {
 			r.tell(feed.Result{Topic: c.Topic, Turn: c.Turn, Event: r.Source.Watch(r.ctx, c.Topic, c.After)})
 		})
+	case feed.Announce:
+		r.wait.Go(r.announce)
 	case feed.PullFrom:
 		r.wait.Go(func() { r.tell(r.pull(c.Peer)) })
 	case feed.Note:
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -50,8 +50,13 @@
 	// stands for all searchers.
 	Fleet uint64
 	Hash  uint64
+	// Age is how long ago all of it was certainly current, or NeverCurrent.
+	Age time.Duration
 }
 
+// NeverCurrent is the age of beliefs that were never compared with the store.
+const NeverCurrent time.Duration = -1
+
 // Catalog is what one host gives another.
 type Catalog struct {
 	Configuration model.Configuration
@@ -116,6 +121,10 @@
 // PullFailed is a pull without a result.
 type PullFailed struct{ Peer model.HostID }
 
+// Placed tells whether this host follows the store by itself and whether it
+// knows its peers.
+type Placed struct{ Watch, Joined bool }
+
 // Woke tells that the process was paused, so that beliefs may be old.
 type Woke struct{}
 
@@ -128,6 +137,7 @@
 func (PeerSeen) event()          {}
 func (Pulled) event()            {}
 func (PullFailed) event()        {}
+func (Placed) event()            {}
 func (Woke) event()              {}
 
 // Command is something to do after a tick.
@@ -159,6 +169,13 @@
 // Contacts names entry hosts for first contact.
 type Contacts struct{ Hosts []model.Host }
 
+// Tell asks to push the digest to a few peers, so that hosts that do not follow
+// the store know that their beliefs are current.
+type Tell struct{}
+
+// Announce makes this host known for first contact.
+type Announce struct{}
+
 // Note is a line for the log, as pairs of key and value.
 type Note struct {
 	Text  string
@@ -171,4 +188,6 @@
 func (PullFrom) command() {}
 func (Adopt) command()    {}
 func (Contacts) command() {}
+func (Tell) command()     {}
+func (Announce) command() {}
 func (Note) command()     {}
--- a/internal/feed/receive.go
+++ b/internal/feed/receive.go
@@ -58,6 +58,7 @@
 func (w *World) succeed(t Topic, asOf uint64, next time.Time) {
 	id, cell := w.row(t)
 	w.topic.Set(id, cell.withResult(asOf, next))
+	w.readBoth()
 	if !w.away {
 		return
 	}
@@ -69,6 +70,21 @@
 	w.note("platform regained", "topic", t.String(), "away", gone, "asOf", asOf)
 }
 
+// readBoth notes that a host that does not follow the store has just read both
+// topics. It will read them in full the next time.
+func (w *World) readBoth() {
+	if w.placed.Watch {
+		return
+	}
+	for _, t := range []Topic{Configuration, Searchers} {
+		if _, cell := w.row(t); !cell.known {
+			return
+		}
+	}
+	w.freshAt = w.now
+	w.restart()
+}
+
 func (w *World) readConfiguration(e ConfigurationRead) {
 	id, cell := w.row(Configuration)
 	followed := cell.known
@@ -210,6 +226,7 @@
 func (w *World) hearPeers() {
 	tick.Each(w.inbox, func(e PeerSeen) {
 		if !w.behind(e.Digest) {
+			w.heardCurrent(e.Digest)
 			if id, ok := w.ahead.Find(e.Peer.ID); ok {
 				w.ahead.Remove(id)
 			}
@@ -219,7 +236,7 @@
 		w.peer.Set(id, e)
 		if w.pullAt.IsZero() {
 			delay := pullDelay
-			if w.away || !w.configuration.Known() {
+			if w.away || !w.placed.Watch || !w.configuration.Known() {
 				delay = pullDelayAway
 			}
 			w.pullAt = w.now.Add(delay)
@@ -227,6 +244,15 @@
 	})
 }
 
+// heardCurrent notes that a peer that knows no more than this host has compared
+// it with the store.
+func (w *World) heardCurrent(d Digest) {
+	same := d.Version == w.configuration.Version && d.Hash == w.hash()
+	if at := w.now.Add(-d.Age); d.Age != NeverCurrent && same && at.After(w.freshAt) {
+		w.freshAt = at
+	}
+}
+
 // behind reports whether a digest has more than this host.
 func (w *World) behind(d Digest) bool {
 	return d.Version > w.configuration.Version || (d.Fleet > w.fleet && d.Hash != w.hash())
--- a/internal/feed/world.go
+++ b/internal/feed/world.go
@@ -27,6 +27,18 @@
 	// lapseGrace is how long after an outage a missing entry may come back.
 	// Searchers that live are back within about 2 s.
 	lapseGrace = 2300 * time.Millisecond
+	// startDelay is how long a fresh host that does not follow the store waits for
+	// its peers' beliefs before it asks the store, hostsDelay how long a host
+	// without peers waits before it reads the list of hosts.
+	startDelay = 700 * time.Millisecond
+	hostsDelay = 1500 * time.Millisecond
+	// followAge is the age of beliefs from which a host that does not follow the
+	// store asks it. Changes must be in force within 5 s where there are hosts
+	// that do not follow it; reading takes some 10 ms, a slow store 240 ms.
+	followAge = 3 * time.Second
+	// tellEvery is the time between pushes of a host that follows the store; with
+	// three peers each, most hosts hear one of six such hosts every two seconds.
+	tellEvery = 500 * time.Millisecond
 	// pullDelay is how long a host waits for its own watch before it pulls what
 	// a peer has, and pullDelayAway the same while the store is away.
 	pullDelay     = time.Second
@@ -105,6 +117,15 @@
 	awaySince time.Time
 	backAt    time.Time
 
+	// placed tells whether this host follows the store, begun is its first tick.
+	placed Placed
+	begun  time.Time
+	// freshAt is when all beliefs were certainly current; zero if they never were.
+	freshAt  time.Time
+	nextTell time.Time
+	// announced is set once this host was made known.
+	announced bool
+
 	// ahead holds peers that know more, pullAt is when one is asked.
 	ahead   *table.Table[model.HostID]
 	peer    *table.Column[PeerSeen]
@@ -126,12 +147,15 @@
 	for _, t := range []Topic{Configuration, Searchers, Hosts} {
 		w.topics.Add(t)
 	}
-	w.systems = []func(){w.receive, w.hearPeers, w.takePulled, w.lapse, w.ask, w.pull, w.adopt}
+	w.systems = []func(){w.place, w.receive, w.hearPeers, w.takePulled, w.lapse, w.ask, w.pull, w.adopt, w.tell}
 	return w
 }
 
 // Tick runs every system over the events and returns commands.
 func (w *World) Tick(now time.Time, inbox []Event) []Command {
+	if w.begun.IsZero() {
+		w.begun = now
+	}
 	w.now, w.inbox, w.out = now, inbox, nil
 	w.alarm.Reset()
 	for _, system := range w.systems {
@@ -144,8 +168,12 @@
 func (w *World) Next() time.Time { return w.alarm.Next() }
 
 // Digest returns a summary of what is believed.
-func (w *World) Digest() Digest {
-	return Digest{Version: w.configuration.Version, Fleet: w.fleet, Hash: w.hash()}
+func (w *World) Digest(now time.Time) Digest {
+	d := Digest{Version: w.configuration.Version, Fleet: w.fleet, Hash: w.hash(), Age: NeverCurrent}
+	if !w.freshAt.IsZero() {
+		d.Age = max(now.Sub(w.freshAt), 0)
+	}
+	return d
 }
 
 // Away reports whether the store does not answer.
@@ -157,12 +185,27 @@
 
 func (w *World) warn(text string, facts ...any) { w.emit(Note{Text: text, Warn: true, Facts: facts}) }
 
+// place is the system that takes whether this host follows the store.
+func (w *World) place() {
+	tick.Each(w.inbox, func(e Placed) {
+		if e.Watch != w.placed.Watch {
+			w.note("place changed", "followsStore", e.Watch, "joined", e.Joined)
+		}
+		w.placed = e
+	})
+	if w.placed.Watch && !w.announced {
+		w.announced = true
+		w.emit(Announce{})
+	}
+}
+
 // ask is the system that reads and watches topics, one call each at a time.
 func (w *World) ask() {
+	w.refresh()
 	for id := range w.topics.All() {
 		name, t := w.topics.Key(id), w.topic.Get(id)
 		switch {
-		case t.busy, name == Hosts && t.known:
+		case t.busy || !w.wants(name, t):
 		case w.now.Before(t.next):
 			w.alarm.At(t.next)
 		case !t.known:
@@ -177,6 +220,52 @@
 	}
 }
 
+// wants reports whether the store is to be asked for a topic. Where peers follow
+// the store, this host asks only while it has heard of none for too long.
+func (w *World) wants(name Topic, t topic) bool {
+	due := w.begun.Add(startDelay)
+	switch {
+	case name == Hosts && (t.known || w.placed.Joined):
+		return false
+	case name == Hosts:
+		due = w.begun.Add(hostsDelay)
+	case w.placed.Watch:
+		return true
+	case !w.freshAt.IsZero():
+		due = w.freshAt.Add(followAge)
+	}
+	if w.now.Before(due) {
+		w.alarm.At(due)
+		return false
+	}
+	return true
+}
+
+// refresh notes that all beliefs are current if both topics are watched now. A
+// watch that hears of no change any more ends by its timeout.
+func (w *World) refresh() {
+	for _, t := range []Topic{Configuration, Searchers} {
+		if _, cell := w.row(t); !cell.known || cell.failures > 0 {
+			return
+		}
+	}
+	if w.placed.Watch && !w.away {
+		w.freshAt = w.now
+	}
+}
+
+// tell is the system that keeps peers informed that beliefs are current.
+func (w *World) tell() {
+	if !w.placed.Watch {
+		return
+	}
+	if !w.now.Before(w.nextTell) {
+		w.nextTell = w.now.Add(tellEvery)
+		w.emit(Tell{})
+	}
+	w.alarm.At(w.nextTell)
+}
+
 // backoff returns when a topic with failures is asked for again.
 func (w *World) backoff(failures int) time.Time {
 	pause := min(firstBackoff<<min(failures, 10), mostBackoff)
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -12,18 +12,25 @@
 // host drives a world with a clock that the test moves.
 type host struct {
 	*World
+	t        *testing.T
 	at       time.Time
 	commands []Command
 }
 
-func newHost() *host {
-	h := &host{World: NewWorld(), at: time.Unix(1000, 0)}
-	h.tick()
+// newHost returns a host that follows the store by itself.
+func newHost(t *testing.T) *host {
+	h := &host{World: NewWorld(), t: t, at: time.Unix(1000, 0)}
+	h.tick(Placed{Watch: true})
 	return h
 }
 
+// tick runs the world. A deadline that is not later than the tick that names it
+// would make the loop spin.
 func (h *host) tick(events ...Event) {
 	h.commands = append(h.commands, h.Tick(h.at, events)...)
+	if next := h.Next(); !next.IsZero() && !next.After(h.at) {
+		h.t.Fatalf("the next deadline is %v before the tick that names it", h.at.Sub(next))
+	}
 }
 
 // wait moves the clock to each deadline up to the given time from now.
@@ -102,7 +109,7 @@
 // the topic that noticed was read anew.
 func TestLostHistoryRestartsAllTopics(t *testing.T) {
 	is := is.New(t)
-	h := newHost()
+	h := newHost(t)
 	h.start(3, "a")
 	deaf, read := h.turn(Configuration)
 	is.True(!read)
@@ -120,7 +127,7 @@
 // read that replaces a newer configuration.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
-	h := newHost()
+	h := newHost(t)
 	h.start(6, "a")
 	h.tick(Pulled{Peer: "p", Catalog: Catalog{Configuration: configuration(5), Fleet: model.Fleet{Revision: 1}}})
 	h.result(Configuration, ConfigurationRead{Known: true, Configuration: configuration(4), AsOf: 30})
@@ -132,7 +139,7 @@
 // whose entries lapsed only because the store was away.
 func TestEntriesMissingAfterAnOutageMayComeBack(t *testing.T) {
 	is := is.New(t)
-	h := newHost()
+	h := newHost(t)
 	h.start(1, "a", "b", "c")
 	begun := h.at
 	h.wait(4 * time.Second)
@@ -152,7 +159,7 @@
 // while the store was there all the time.
 func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
 	is := is.New(t)
-	h := newHost()
+	h := newHost(t)
 	h.start(1, "a", "b")
 	h.result(Searchers, FleetChanged{Changes: []Change{{Registration: registrations("b")[0], Removed: true}}, AsOf: 11})
 	is.Equal(h.searchers(), map[model.SearcherID]bool{"a": true})
@@ -162,8 +169,8 @@
 // nothing during an outage although its peers know everything.
 func TestPeerHelpsWhileStoreIsAway(t *testing.T) {
 	is := is.New(t)
-	h := newHost()
-	for _, topic := range []Topic{Configuration, Searchers, Hosts} {
+	h := newHost(t)
+	for _, topic := range []Topic{Configuration, Searchers} {
 		h.result(topic, Failed{Begun: h.at, Cause: "refused"})
 	}
 	h.tick(PeerSeen{Peer: model.Host{ID: "p"}, Digest: Digest{Version: 4, Fleet: 9, Hash: 1}})
@@ -181,3 +188,33 @@
 	is.Equal(h.believed().Configuration.Version, model.Revision(4))
 	is.True(h.searchers()["a"])
 }
+
+// TestFollowerAsksWhileItHearsOfNoWatcher guards against a host that leaves the
+// store to its peers and never notices that all of them are gone.
+func TestFollowerAsksWhileItHearsOfNoWatcher(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t)
+	h.start(1, "a")
+	h.tick(Placed{Joined: true})
+	current := h.Digest(h.at)
+	calls := func() int {
+		n := 0
+		for _, c := range h.commands {
+			switch c.(type) {
+			case Read, Watch:
+				n++
+			}
+		}
+		return n
+	}
+	h.result(Configuration, Failed{Begun: h.at, Cause: "cut"})
+	h.result(Searchers, Failed{Begun: h.at, Cause: "cut"})
+	before := calls()
+	for range 10 { // a watcher is heard of each second
+		h.tick(PeerSeen{Peer: model.Host{ID: "p"}, Digest: current})
+		h.wait(time.Second)
+	}
+	is.Equal(calls(), before)
+	h.wait(followAge)
+	is.Equal(calls(), before+2) // the configuration and the searchers
+}
--- a/internal/model/host.go
+++ b/internal/model/host.go
@@ -50,4 +50,7 @@
 	Entry         Address
 	FailureDomain FailureDomain
 	Region        Region
+	// Capacity is the strength of the host in thousandths of a core, less if its
+	// link is the narrower part; 0 if it is not known.
+	Capacity int
 }
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -15,6 +15,7 @@
 		Host: string(m.Host.ID), PeerAddress: string(m.Host.Peer), EntryAddress: string(m.Host.Entry),
 		FailureDomain: string(m.Host.FailureDomain), Region: string(m.Host.Region),
 		Incarnation: m.Incarnation, State: peer.MemberState(m.State) + peer.MemberState_MEMBER_STATE_ALIVE, Ready: m.Ready,
+		Capacity: uint32(m.Host.Capacity),
 	}
 }
 
@@ -29,6 +30,7 @@
 		Host: model.Host{
 			ID: model.HostID(m.GetHost()), Peer: model.Address(m.GetPeerAddress()), Entry: model.Address(m.GetEntryAddress()),
 			FailureDomain: model.FailureDomain(m.GetFailureDomain()), Region: model.Region(m.GetRegion()),
+			Capacity: int(m.GetCapacity()),
 		},
 		Incarnation: m.GetIncarnation(), State: model.MemberState(state), Ready: m.GetReady(),
 	}
