Share by the full count of hosts until peers are known; test the adapter against stand-ins

Cause, found by the new tests of the adapter: a host that does not know its peers took itself for the only carrier and three quarters of the connections and of the slack of all hosts. Ruled out: the count of hosts (64 were assumed). Test: TestUnknownHostsGetTheirShare fails without the change.

--- /dev/null
+++ b/internal/conns/conns_test.go
@@ -0,0 +1,227 @@
+package conns
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanpulley.example/internal/model"
+	"toucanpulley.example/internal/relay"
+)
+
+// testCodec speaks lines: a call is "id\n", a reply "echo body\n". The body
+// "close" says that the connection cannot be used again.
+func testCodec() Codec {
+	return Codec{
+		Append: func(to []byte, c relay.StartCall) []byte { return append(to, string(c.Request)+"\n"...) },
+		Read: func(r *bufio.Reader, _ relay.StartCall) (Outcome, error) {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return Outcome{}, err
+			}
+			echo, body, _ := strings.Cut(strings.TrimSpace(line), " ")
+			return Outcome{
+				Echo: model.RequestID(echo), Reusable: body != "close",
+				Reply: relay.Reply{Status: 200, Body: []byte(body)},
+			}, nil
+		},
+	}
+}
+
+// searcher is a stand-in that answers each line by a function; an answer without
+// its end closes the connection.
+type searcher struct {
+	listener net.Listener
+	accepted chan net.Conn
+}
+
+func newSearcher(t *testing.T, answer func(line string) string) *searcher {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &searcher{listener: listener, accepted: make(chan net.Conn, 100)}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted <- conn
+			go serve(conn, answer)
+		}
+	}()
+	return s
+}
+
+func serve(conn net.Conn, answer func(string) string) {
+	lines := bufio.NewScanner(conn)
+	for lines.Scan() {
+		reply := answer(lines.Text())
+		if reply == "" {
+			break
+		}
+		if _, err := conn.Write([]byte(reply)); err != nil || !strings.HasSuffix(reply, "\n") {
+			break
+		}
+	}
+	_ = conn.Close()
+}
+
+// pool returns a pool with one searcher and the channel of its reports.
+func newTestPool(t *testing.T, s *searcher, ahead, most int) (*Pool, chan relay.Event) {
+	t.Helper()
+	events := make(chan relay.Event, 100)
+	p := NewPool(testCodec())
+	p.Report = func(e relay.Event) { events <- e }
+	p.Follow(connect(s, ahead, most))
+	t.Cleanup(func() { _ = p.Close() })
+	return p, events
+}
+
+func connect(s *searcher, ahead, most int) relay.Connect {
+	to := model.Searcher{ID: "s-1", Address: model.Address(s.listener.Addr().String())}
+	return relay.Connect{Searchers: map[model.SearcherID]relay.Connections{
+		"s-1": {Searcher: to, Ahead: ahead, Most: most},
+	}}
+}
+
+func startCall(p *Pool, id int) {
+	p.Start(relay.StartCall{
+		Call: relay.CallID(id), Request: model.RequestID(fmt.Sprint("r", id)), Searcher: model.Searcher{ID: "s-1"},
+	})
+}
+
+func next(t *testing.T, events chan relay.Event) relay.Event {
+	t.Helper()
+	select {
+	case e := <-events:
+		return e
+	case <-time.After(10 * time.Second):
+		t.Fatal("no call ended")
+		return nil
+	}
+}
+
+// TestReplies covers what searchers may send in answer to a call.
+func TestReplies(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer string
+		// body is that of the reply; empty if the call must fail.
+		body    string
+		failure model.Failure
+	}{
+		{"whole", "r1 hello\n", "hello", 0},
+		{"after an answer to an earlier request", "r0 late\nr1 hello\n", "hello", 0},
+		{"of another request before the end", "r0 close\n", "", model.FailureTruncated},
+		{"cut short", "r1 hel", "", model.FailureTruncated},
+		{"none", "", "", model.FailureLost},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSearcher(t, func(string) string { return test.answer })
+			p, events := newTestPool(t, s, 0, 1)
+			startCall(p, 1)
+			switch e := next(t, events).(type) {
+			case relay.Replied:
+				is.Equal(string(e.Reply.Body), test.body)
+			case relay.CallFailed:
+				is.Equal(test.body, "")
+				is.Equal(e.Failure, test.failure)
+				is.True(!e.NotRun) // the searcher may have run it
+			}
+		})
+	}
+}
+
+// TestBytesOnAnIdleConnectionCloseIt guards against a second answer that is
+// taken for the answer to the next call.
+func TestBytesOnAnIdleConnectionCloseIt(t *testing.T) {
+	is := is.New(t)
+	s := newSearcher(t, func(line string) string {
+		if line == "r1" {
+			return "r1 a\nr2 forged\n"
+		}
+		return line + " b\n"
+	})
+	p, events := newTestPool(t, s, 0, 1)
+	startCall(p, 1)
+	is.Equal(string(next(t, events).(relay.Replied).Reply.Body), "a")
+	startCall(p, 2)
+	is.Equal(string(next(t, events).(relay.Replied).Reply.Body), "b")
+	is.Equal(len(s.accepted), 2) // the second call went over a new connection
+}
+
+// TestUnreachableSearcherProvesNotRun guards against a request that is not
+// repeated although nothing was sent.
+func TestUnreachableSearcherProvesNotRun(t *testing.T) {
+	is := is.New(t)
+	s := newSearcher(t, func(string) string { return "" })
+	is.NoErr(s.listener.Close())
+	p, events := newTestPool(t, s, 0, 1)
+	startCall(p, 1)
+	e := next(t, events).(relay.CallFailed)
+	is.True(e.NotRun)
+	is.Equal(e.Failure, model.FailureConnect)
+}
+
+// TestCancelClosesTheConnection guards against a searcher that goes on working
+// for a caller that went away.
+func TestCancelClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	s := newSearcher(t, func(string) string { <-hold; return "r1 a\n" })
+	p, events := newTestPool(t, s, 0, 1)
+	startCall(p, 1)
+	conn := <-s.accepted
+	p.Cancel(1)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(10 * time.Second)))
+	close(hold)
+	is.NoErr(p.Close())
+	is.Equal(len(events), 0) // a cancelled call is not reported
+}
+
+// TestBoundOnConnections guards against more connections than a searcher accepts
+// from this host.
+func TestBoundOnConnections(t *testing.T) {
+	is := is.New(t)
+	s := newSearcher(t, func(line string) string { time.Sleep(time.Millisecond); return line + " a\n" })
+	p, events := newTestPool(t, s, 2, 2)
+	for id := 1; id <= 20; id++ {
+		startCall(p, id)
+	}
+	for range 20 {
+		_, ok := next(t, events).(relay.Replied)
+		is.True(ok)
+	}
+	is.True(len(s.accepted) <= 2)
+}
+
+// TestIdleConnectionsBeyondTheBoundAreClosed guards against hosts that keep
+// their connections after the share of each has shrunk.
+func TestIdleConnectionsBeyondTheBoundAreClosed(t *testing.T) {
+	is := is.New(t)
+	s := newSearcher(t, func(line string) string { return line + " a\n" })
+	p, _ := newTestPool(t, s, 3, 3)
+	for range 3 {
+		<-s.accepted
+	}
+	idle := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.peers["s-1"].idle)
+	}
+	for idle() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	p.Follow(connect(s, 1, 1))
+	is.Equal(idle(), 1)
+}
--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -353,10 +353,11 @@
 			serving = append(serving, m)
 		}
 	}
-	if !w.Member.Joined() && !alone {
+	joined := w.Member.Joined() || alone
+	if !joined {
 		known = max(known, unknownHosts)
 	}
 	slices.SortFunc(serving, func(a, b model.Member) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
-	w.view = w.view.WithHosts(serving, known).WithCarriers()
+	w.view = w.view.WithHosts(serving, known, joined).WithCarriers()
 	w.emit(PublishRelay{View: w.view})
 }
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -153,7 +153,9 @@
 	switch c := c.(type) {
 	case feed.Read:
 		r.Meter.Count("platformCall", "read")
-		r.wait.Go(func() { r.tell(feed.Result{Topic: c.Topic, Turn: c.Turn, Event: r.Source.Read(r.ctx, c.Topic)}) })
+		r.wait.Go(func() {
+			r.tell(feed.Result{Topic: c.Topic, Turn: c.Turn, Event: r.Source.Read(r.ctx, c.Topic)})
+		})
 	case feed.Watch:
 		r.Meter.Count("platformCall", "watch")
 		r.wait.Go(func() {
@@ -172,7 +174,12 @@
 	}
 }
 
-func (r *Relay) tell(e feed.Event) { r.control.Send(ctrl.FeedEvent{Event: e}) }
+// tell reports what came of a call, unless the daemon stops.
+func (r *Relay) tell(e feed.Event) {
+	if r.ctx.Err() == nil {
+		r.control.Send(ctrl.FeedEvent{Event: e})
+	}
+}
 
 // pull asks a peer for its catalog.
 func (r *Relay) pull(c feed.PullFrom) feed.Event {
--- a/internal/model/refusal.go
+++ b/internal/model/refusal.go
@@ -88,6 +88,7 @@
 	MissingVersionGone MissingReason = "versionGone"
 	MissingCutOff      MissingReason = "cutOff"
 	MissingSuspect     MissingReason = "suspect"
+	MissingRetryBudget MissingReason = "retryBudget"
 )
 
 // RetryReason is why a call is sent again to another replica.
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -27,7 +27,7 @@
 		w.settle(row, p.withMissing(reason))
 	case p.again != "" && !w.service.Get(p.service).extras.Spend(w.now):
 		w.emit(Count{"retry", "budgetExhausted"})
-		w.settle(row, p.withMissing(p.reason))
+		w.settle(row, p.withMissing(model.MissingRetryBudget))
 	default:
 		if p.again != "" {
 			w.emit(Count{"retry", string(p.again)})
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -94,11 +94,11 @@
 }
 
 // portion returns this host's part of what all hosts share. Hosts that callers
-// are sent to get most of it.
+// are sent to get most of it, once all hosts are known.
 func (w *World) portion(whole float64) float64 {
 	carriers, others := float64(len(w.view.Carriers)), float64(w.view.HostCount-len(w.view.Carriers))
 	switch {
-	case carriers == 0 || others <= 0:
+	case carriers == 0 || others <= 0 || !w.view.Joined:
 		return whole / float64(w.view.HostCount)
 	case w.view.Carries(w.Host):
 		return whole * carrierShare / carriers
@@ -186,7 +186,7 @@
 		w.note("readiness changed", "ready", v.Ready, "reason", v.Reason, "leaving", v.Leaving)
 	}
 	if v.HostCount != old.HostCount || len(v.Carriers) != len(old.Carriers) {
-		w.note("hosts changed", "hosts", v.HostCount, "former", old.HostCount, "ready", len(v.Hosts),
+		w.note("hosts changed", "hosts", v.HostCount, "former", old.HostCount, "joined", v.Joined, "ready", len(v.Hosts),
 			"carriers", len(v.Carriers), "carries", v.Carries(w.Host))
 	}
 }
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -15,6 +15,8 @@
 	Hosts []model.Member
 	// HostCount is the number of entry hosts that may hold connections, at least 1.
 	HostCount int
+	// Joined is set once the hosts are known; HostCount is a guess before.
+	Joined bool
 	// Carriers are the hosts that callers are sent to; see WithCarriers.
 	Carriers []model.Member
 	// Ready is set if this host takes callers; Reason tells why not.
@@ -36,9 +38,10 @@
 	return v
 }
 
-// WithHosts returns the view with other entry hosts.
-func (v View) WithHosts(hosts []model.Member, count int) View {
-	v.Hosts, v.HostCount = hosts, max(count, 1)
+// WithHosts returns the view with other entry hosts; joined is set if there are
+// no others.
+func (v View) WithHosts(hosts []model.Member, count int, joined bool) View {
+	v.Hosts, v.HostCount, v.Joined = hosts, max(count, 1), joined
 	return v
 }
 
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -33,7 +33,7 @@
 		Target: 150 * time.Millisecond, Attempts: 2, Keep: 3, MinCoverage: 0.5,
 	}
 	var services []model.Service
-	v := View{HostCount: 1, Ready: true}
+	v := View{HostCount: 1, Joined: true, Ready: true}
 	for i := range shards {
 		name := model.ServiceName(fmt.Sprintf("shard-%d", i))
 		route.Shards = append(route.Shards, name)
@@ -145,3 +145,16 @@
 	l.wait(l.Bounds.RetryWindow)
 	is.True(l.left("shard-0") > 30)
 }
+
+// TestUnknownHostsGetTheirShare guards against a host that does not know its
+// peers yet, takes itself for the only carrier, and opens most of the
+// connections that a searcher accepts from all hosts.
+func TestUnknownHostsGetTheirShare(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, func(v *View, _ *model.Route) {
+		v.HostCount, v.Joined = 64, false
+		v.Carriers = []model.Member{{Host: model.Host{ID: "host-1"}}}
+	})
+	id, _ := l.searchers.Find("shard-0/d1")
+	is.Equal(l.searcher.Get(id).connections.Most, 1)
+}
--- /dev/null
+++ b/stand/plat/objects.go
@@ -0,0 +1,204 @@
+package plat
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Objects is a stand-in of the users' object store: kinds of named objects with
+// one counter of revisions, lists in pages and watches. Faults are set between
+// calls.
+type Objects struct {
+	// Page is the number of objects of one list answer; 50 if zero.
+	Page int
+
+	mu       sync.Mutex
+	revision uint64
+	kinds    map[string]map[string]*stored
+	history  []event
+	// lost is the revision up to which history is gone.
+	lost    uint64
+	refuse  int
+	calls   map[string]int
+	changed chan struct{}
+}
+
+// stored is an object with its spec as it was written.
+type stored struct {
+	Meta struct {
+		Name     string `json:"name"`
+		Revision uint64 `json:"revision"`
+	} `json:"meta"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+type event struct {
+	kind     string
+	revision uint64
+	Object   stored `json:"object"`
+	Deleted  bool   `json:"deleted"`
+}
+
+// NewObjects returns an empty store.
+func NewObjects() *Objects {
+	return &Objects{
+		revision: 1, kinds: map[string]map[string]*stored{}, calls: map[string]int{}, changed: make(chan struct{}),
+	}
+}
+
+// Put writes the spec of an object as it is, readable or not as an entry.
+func (o *Objects) Put(kind, name, spec string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.put(kind, name, json.RawMessage(spec))
+}
+
+func (o *Objects) put(kind, name string, spec json.RawMessage) {
+	if o.kinds[kind] == nil {
+		o.kinds[kind] = map[string]*stored{}
+	}
+	s := &stored{Spec: spec}
+	s.Meta.Name = name
+	o.kinds[kind][name] = s
+	o.record(kind, s, false)
+}
+
+// Remove deletes an object.
+func (o *Objects) Remove(kind, name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s, ok := o.kinds[kind][name]; ok {
+		delete(o.kinds[kind], name)
+		o.record(kind, s, true)
+	}
+}
+
+func (o *Objects) record(kind string, s *stored, deleted bool) {
+	o.revision++
+	s.Meta.Revision = o.revision
+	o.history = append(o.history, event{kind: kind, revision: o.revision, Object: *s, Deleted: deleted})
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// LoseHistory forgets all changes so far; watches from before are told so.
+func (o *Objects) LoseHistory() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lost, o.history = o.revision, nil
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// Refuse has every call answered with a status until it is zero again.
+func (o *Objects) Refuse(status int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refuse = status
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// Calls returns the number of lists or watches of a kind.
+func (o *Objects) Calls(kind string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.calls[kind]
+}
+
+// ServeHTTP answers a call.
+func (o *Objects) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind := strings.TrimPrefix(r.URL.Path, "/api/objects/")
+	o.mu.Lock()
+	refuse := o.refuse
+	o.calls[kind]++
+	o.mu.Unlock()
+	switch {
+	case refuse != 0:
+		w.WriteHeader(refuse)
+	case r.Method == http.MethodPost:
+		o.create(w, r, kind)
+	case r.URL.Query().Has("watch"):
+		o.watch(w, r, kind)
+	default:
+		o.list(w, r.URL.Query().Get("after"), kind)
+	}
+}
+
+func (o *Objects) create(w http.ResponseWriter, r *http.Request, kind string) {
+	var s stored
+	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, exists := o.kinds[kind][s.Meta.Name]; exists {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	o.put(kind, s.Meta.Name, s.Spec)
+}
+
+func (o *Objects) list(w http.ResponseWriter, after, kind string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	page := o.Page
+	if page == 0 {
+		page = 50
+	}
+	var names []string
+	for name := range o.kinds[kind] {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	more := len(names) > page
+	items := []*stored{}
+	for _, name := range names[:min(page, len(names))] {
+		items = append(items, o.kinds[kind][name])
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "more": more, "as-of": o.revision})
+}
+
+func (o *Objects) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for expired := false; ; {
+		o.mu.Lock()
+		changed := o.changed
+		if after < o.lost || o.refuse != 0 {
+			status := max(o.refuse, http.StatusGone)
+			o.mu.Unlock()
+			w.WriteHeader(status)
+			return
+		}
+		events := []event{}
+		for _, e := range o.history {
+			if e.kind == kind && e.revision > after {
+				events = append(events, e)
+			}
+		}
+		if len(events) > 0 || expired {
+			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "as-of": o.revision})
+			o.mu.Unlock()
+			return
+		}
+		o.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
