--- /dev/null
+++ b/internal/relay/answer_test.go
@@ -0,0 +1,231 @@
+package relay
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanpulley.example/internal/model"
+)
+
+func record(letter string) string { return strings.Repeat(letter, recordSize) }
+
+// TestAnswerWaitsForAllPartsUntilTheCutOff guards against an answer that leaves
+// out a part which would have come in time, and against one that waits past the
+// target although the required coverage is there.
+func TestAnswerWaitsForAllPartsUntilTheCutOff(t *testing.T) {
+	is := is.New(t)
+	l := newLane(4, nil)
+	h := l.ask("/all/q")
+	for _, c := range l.sent[:3] {
+		l.reply(c, record("a"))
+	}
+	l.wait(100 * time.Millisecond)
+	_, answered := l.answers[h]
+	is.True(!answered)
+	l.wait(50 * time.Millisecond)
+	a := l.answers[h]
+	is.Equal(a.Kind, Merged)
+	is.Equal(len(a.Signatures), 3)
+	is.Equal(a.Missing, 1)
+}
+
+// TestAnswerBelowRequiredCoverageComesLate guards against an answer with too few
+// parts at the cut-off, and against one that then waits for more than required.
+func TestAnswerBelowRequiredCoverageComesLate(t *testing.T) {
+	is := is.New(t)
+	l := newLane(4, nil)
+	h := l.ask("/all/q")
+	l.reply(l.sent[0], record("a"))
+	l.wait(200 * time.Millisecond)
+	_, answered := l.answers[h]
+	is.True(!answered)
+	l.reply(l.sent[1], record("b"))
+	is.Equal(l.answers[h].Missing, 2)
+}
+
+// TestUnreachableCoverageFailsAtOnce guards against a request that is held until
+// its deadline although it cannot succeed any more.
+func TestUnreachableCoverageFailsAtOnce(t *testing.T) {
+	is := is.New(t)
+	l := newLane(2, func(v *View, r *model.Route) {
+		r.MinCoverage = 1
+		v.Fleet.Registrations = v.Fleet.Registrations[:2] // none for the second shard
+	})
+	h := l.ask("/all/q")
+	a := l.answers[h]
+	is.Equal(a.Kind, Refused)
+	is.Equal(a.Refusal.Execution, model.MayHaveRun) // the first shard has it
+}
+
+// TestNotRunIsOnlySaidOfRequestsThatDidNotRun covers what a failed request says.
+func TestNotRunIsOnlySaidOfRequestsThatDidNotRun(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		end  func(l *lane, c StartCall)
+		want model.Execution
+	}{
+		{"shed", func(l *lane, c StartCall) { l.shed(c) }, model.NotRun},
+		{"not connected", func(l *lane, c StartCall) {
+			l.tick(CallFailed{Call: c.Call, Failure: model.FailureConnect, NotRun: true})
+		}, model.NotRun},
+		{"lost", func(l *lane, c StartCall) {
+			l.tick(CallFailed{Call: c.Call, Failure: model.FailureLost})
+		}, model.MayHaveRun},
+		{"late", func(l *lane, _ StartCall) { l.wait(2 * time.Second) }, model.MayHaveRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLane(1, func(v *View, _ *model.Route) {
+				v.Fleet.Registrations = v.Fleet.Registrations[:1]
+			})
+			h := l.ask("/one/q")
+			test.end(l, l.last())
+			is.Equal(l.answers[h].Refusal.Execution, test.want)
+			is.Equal(len(l.sent), 1)
+		})
+	}
+}
+
+// TestRequestThatIsNotIdempotentRunsOnce guards against a second call for a
+// request that may have run: neither a slow nor a lost call causes one.
+func TestRequestThatIsNotIdempotentRunsOnce(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, nil)
+	l.wait(l.Bounds.RetryWindow)
+	l.ask("/one/q")
+	l.wait(900 * time.Millisecond)
+	l.tick(CallFailed{Call: l.last().Call, Failure: model.FailureLost})
+	is.Equal(len(l.sent), 1)
+}
+
+// TestSecondSearcherIsAskedOnce guards against a missing or repeated hedge.
+func TestSecondSearcherIsAskedOnce(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, nil)
+	l.wait(l.Bounds.RetryWindow)
+	h := l.ask("/all/q")
+	l.wait(100 * time.Millisecond)
+	is.Equal(len(l.sent), 2)
+	is.True(l.sent[0].Searcher.ID != l.sent[1].Searcher.ID)
+	l.reply(l.sent[1], record("b"))
+	is.Equal(l.answers[h].Missing, 0)
+	l.reply(l.sent[0], record("a")) // the loser is dropped
+	is.Equal(len(l.answers[h].Signatures), 1)
+}
+
+// TestCallsOfDepartedCallersEnd guards against searchers that work for a caller
+// that went away; they must stop within 500 ms.
+func TestCallsOfDepartedCallersEnd(t *testing.T) {
+	is := is.New(t)
+	l := newLane(3, nil)
+	h := l.ask("/all/q")
+	l.tick(CallerGone{Handle: h})
+	l.wait(400 * time.Millisecond)
+	is.Equal(len(l.cancelled), 3)
+	is.Equal(l.Running(), 0)
+	is.Equal(l.calls.Len(), 0)
+}
+
+// TestLeavingSearcherGetsNoWork guards against calls to searchers that drain,
+// are gone, or had their address taken over.
+func TestLeavingSearcherGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, nil)
+	v := l.view
+	v.Fleet.Registrations = []model.Registration{
+		v.Fleet.Registrations[0].WithLeaving(true), v.Fleet.Registrations[1],
+	}
+	l.tick(ViewChanged{View: v})
+	l.ask("/all/q")
+	is.Equal(l.last().Searcher.FailureDomain, model.FailureDomain("d2"))
+	l.tick(Replied{Call: l.last().Call, Reply: Reply{Status: 421, Misdirected: true}})
+	sent := len(l.sent)
+	l.ask("/all/r")
+	is.Equal(len(l.sent), sent) // no searcher is left
+}
+
+// TestSharesFollowTheirWeights guards against a split that drifts off its weights.
+func TestSharesFollowTheirWeights(t *testing.T) {
+	is := is.New(t)
+	l := newLane(2, func(_ *View, r *model.Route) {
+		r.Shards, r.Shares = nil, []model.Share{{Service: "shard-0", Weight: 3}, {Service: "shard-1", Weight: 1}}
+	})
+	count := map[model.FailureDomain]int{}
+	first := 0
+	for range 40 {
+		l.ask("/all/q")
+		c := l.last()
+		count[c.Searcher.FailureDomain]++
+		if strings.HasPrefix(string(c.Searcher.ID), "shard-0") {
+			first++
+		}
+		l.reply(c, "")
+	}
+	is.Equal(first, 30)
+}
+
+// TestStuckSearcherIsPassedOver guards against new calls to a searcher that has
+// stopped answering while another one is idle.
+func TestStuckSearcherIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, nil)
+	l.ask("/all/q")
+	is.Equal(l.last().Searcher.FailureDomain, model.FailureDomain("d1"))
+	l.wait(60 * time.Millisecond)
+	l.ask("/all/r")
+	is.Equal(l.last().Searcher.FailureDomain, model.FailureDomain("d2"))
+}
+
+// TestMergeKeepsTheGreatestRecords covers order, equal records and a rest that is
+// too short to be a record.
+func TestMergeKeepsTheGreatestRecords(t *testing.T) {
+	is := is.New(t)
+	a := merge([]Reply{
+		{Signature: "x", Body: []byte(record("b") + record("d") + "zz")},
+		{Signature: "y", Body: []byte(record("d") + record("a"))},
+	}, 1, 3)
+	is.Equal(string(a.Records), record("d")+record("d")+record("b"))
+	is.Equal(a.Signatures, []string{"x", "y"})
+	is.Equal(a.Missing, 1)
+}
+
+// TestCallersGoToHostsNearSearchers covers the choice of carriers.
+func TestCallersGoToHostsNearSearchers(t *testing.T) {
+	host := func(id, domain string, capacity int) model.Member {
+		return model.Member{Ready: true, Host: model.Host{
+			ID: model.HostID(id), Entry: model.Address(id), FailureDomain: model.FailureDomain(domain), Capacity: capacity,
+		}}
+	}
+	equal := []model.Member{host("a", "d1", 400), host("b", "d1", 400), host("c", "d2", 400), host("d", "d3", 400)}
+	weak := append([]model.Member{
+		host("w", "d1", 80), host("x", "d2", 80), host("a", "d1", 800), host("b", "d2", 800), host("c", "d2", 800),
+	}, host("z", "d3", 800))
+	for _, test := range []struct {
+		name   string
+		hosts  []model.Member
+		domain model.FailureDomain
+		want   string
+	}{
+		{"own domain", equal, "d1", "ab"},
+		{"single host of its domain", equal, "d2", "abc"},
+		{"domain without searchers", equal, "d3", "abc"},
+		{"strong hosts only", weak, "d2", "bc"},
+		{"strong hosts of other domains", weak, "d1", "abc"},
+		{"too few strong hosts", weak[:4], "d2", "xb"},
+		{"one domain left", equal[3:], "d1", "d"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLane(2, nil)
+			v := l.view.WithHosts(test.hosts, len(test.hosts), true).WithCarriers()
+			got := ""
+			for _, h := range v.HostsFor(test.domain) {
+				got += string(h.ID)
+			}
+			is.Equal(got, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/relay/fuzz_test.go
@@ -0,0 +1,317 @@
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"toucanpulley.example/internal/model"
+)
+
+// oracle checks what callers and searchers see of a world.
+type oracle struct {
+	t *rapid.T
+	*World
+	at      time.Time
+	handles Handle
+	paths   map[Handle]string
+	// running holds the calls without an outcome, calls all of them.
+	running map[CallID]StartCall
+	// runs counts the calls of a request that may have run.
+	runs    map[model.RequestID]int
+	started map[CallID]int
+	// answers counts the answers of each request.
+	answers map[Handle]int
+	live    map[Handle]bool
+	version model.Revision
+	leaving map[model.SearcherID]bool
+	// firsts and extras are the times of first and further calls of a shard.
+	firsts, extras map[model.ServiceName][]time.Time
+	seen           map[string]bool
+	services       map[CallID]model.ServiceName
+	sets           map[Handle][]model.ServiceName
+}
+
+const (
+	fuzzShards = 3
+	fuzzSlack  = 4.0
+)
+
+func newOracle(t *rapid.T) *oracle {
+	o := &oracle{
+		t: t, World: NewWorld("host-1", "d1"), at: time.Unix(1000, 0), paths: map[Handle]string{},
+		running: map[CallID]StartCall{}, runs: map[model.RequestID]int{}, started: map[CallID]int{},
+		answers: map[Handle]int{}, live: map[Handle]bool{}, leaving: map[model.SearcherID]bool{},
+		firsts: map[model.ServiceName][]time.Time{}, extras: map[model.ServiceName][]time.Time{},
+		seen: map[string]bool{}, services: map[CallID]model.ServiceName{}, sets: map[Handle][]model.ServiceName{},
+	}
+	o.Bounds = Bounds{RetryShare: 0.2, RetrySlack: fuzzSlack, RetryWindow: 10 * time.Second}
+	o.publish()
+	o.at = o.at.Add(o.Bounds.RetryWindow) // the process has its slack
+	o.tick()
+	return o
+}
+
+// shards returns the set that a version names.
+func shards(version model.Revision) []model.ServiceName {
+	var list []model.ServiceName
+	for i := range fuzzShards {
+		list = append(list, model.ServiceName(fmt.Sprintf("v%d-%d", version/4, i))) // every fourth version moves
+	}
+	return list
+}
+
+// publish puts a new version in force.
+func (o *oracle) publish() {
+	o.version++
+	set := shards(o.version)
+	routes := []model.Route{
+		{
+			Name: "all", Host: "h", Prefix: "/all/", Idempotent: true, Timeout: 800 * time.Millisecond,
+			Target: 150 * time.Millisecond, Attempts: 2, Shards: set, Keep: 2, MinCoverage: 0.6,
+		},
+		{
+			Name: "once", Host: "h", Prefix: "/once/", Timeout: 800 * time.Millisecond, Target: 200 * time.Millisecond,
+			Attempts: 3, Shares: []model.Share{{Service: set[0], Weight: 1}},
+		},
+	}
+	var services []model.Service
+	for _, name := range set {
+		services = append(services, model.Service{Name: name, ConnectionCap: 4})
+	}
+	v := View{HostCount: 1, Joined: true, Ready: true, Configuration: model.NewConfiguration(o.version, routes, services, model.Limits{})}
+	for s := range o.version/4 + 1 {
+		for _, name := range shards(s * 4) {
+			for _, domain := range []string{"d1", "d2"} {
+				r := registration(string(name), domain)
+				v.Fleet.Registrations = append(v.Fleet.Registrations, r.WithLeaving(o.leaving[r.Searcher.ID]))
+			}
+		}
+	}
+	o.tick(ViewChanged{View: v})
+}
+
+func (o *oracle) tick(events ...Event) {
+	for _, c := range o.Tick(o.at, events) {
+		switch c := c.(type) {
+		case StartCall:
+			o.checkCall(c)
+		case CancelCall:
+			delete(o.running, c.Call)
+		case Respond:
+			o.checkAnswer(c)
+		}
+	}
+	if next := o.Next(); !next.IsZero() && !next.After(o.at) {
+		o.t.Fatalf("the loop would spin: the next deadline is %v ago", o.at.Sub(next))
+	}
+}
+
+func (o *oracle) checkCall(c StartCall) {
+	o.running[c.Call] = c
+	o.runs[c.Request]++
+	if o.leaving[c.Searcher.ID] {
+		o.t.Fatalf("call to searcher %s, which is leaving", c.Searcher.ID)
+	}
+	name := model.ServiceName(strings.Split(string(c.Searcher.ID), "/")[0])
+	o.services[c.Call] = name
+	key := string(c.Request) + string(name)
+	times := o.firsts
+	if o.seen[key] {
+		times = o.extras
+	}
+	o.seen[key] = true
+	times[name] = append(times[name], o.at)
+	if most := 0.2*float64(o.recent(o.firsts[name])) + fuzzSlack; float64(o.recent(o.extras[name])) > most {
+		o.t.Fatalf("%d extra calls of %s in a window; allowed: %.1f", o.recent(o.extras[name]), name, most)
+	}
+}
+
+// recent counts the times in the window of the budget.
+func (o *oracle) recent(times []time.Time) int {
+	n := 0
+	for _, at := range times {
+		if o.at.Sub(at) < o.Bounds.RetryWindow {
+			n++
+		}
+	}
+	return n
+}
+
+func (o *oracle) checkAnswer(c Respond) {
+	if o.answers[c.Handle]++; o.answers[c.Handle] > 1 {
+		o.t.Fatalf("request %d was answered twice", c.Handle)
+	}
+	delete(o.live, c.Handle)
+	id := requestID(c.Handle)
+	switch a := c.Answer; a.Kind {
+	case Refused:
+		if a.Refusal.Execution == model.NotRun && o.runs[id] > 0 {
+			o.t.Fatalf("request %d is said not to have run; %d calls may have", c.Handle, o.runs[id])
+		}
+	case Merged:
+		o.checkParts(c.Handle, a)
+	case Relayed:
+		if !strings.HasPrefix(a.Reply.Signature, string(id)+":") {
+			o.t.Fatalf("request %d got the answer %s", c.Handle, a.Reply.Signature)
+		}
+	}
+}
+
+// checkParts checks that the parts are of this request and of distinct shards of
+// the set in force when it came, and that the missing ones are counted.
+func (o *oracle) checkParts(h Handle, a Answer) {
+	set := map[string]bool{}
+	for _, name := range o.sets[h] {
+		set[string(requestID(h))+":"+string(name)] = true
+	}
+	for _, signature := range a.Signatures {
+		if !set[signature] {
+			o.t.Fatalf("request %d has the part %s, which is none of its set or twice in it", h, signature)
+		}
+		delete(set, signature)
+	}
+	if len(set) != a.Missing || len(a.Signatures) < 2 {
+		o.t.Fatalf("request %d: %d parts, %d missing, stated %d", h, len(a.Signatures), len(set), a.Missing)
+	}
+}
+
+func requestID(h Handle) model.RequestID { return model.RequestID(fmt.Sprintf("r%d", h)) }
+
+func (o *oracle) arrive(t *rapid.T) {
+	o.handles++
+	path := rapid.SampledFrom([]string{"/all/q", "/all/q", "/once/q", "/none/q"}).Draw(t, "path")
+	o.paths[o.handles], o.live[o.handles] = path, true
+	o.sets[o.handles] = shards(o.version)
+	patience := time.Duration(rapid.IntRange(0, 900).Draw(t, "patience")) * time.Millisecond
+	o.tick(Arrived{Request: Request{
+		Handle: o.handles, ID: requestID(o.handles), Host: "h", Path: path, Arrived: o.at, Patience: patience,
+	}})
+}
+
+// some returns a call without an outcome.
+func (o *oracle) some(t *rapid.T) StartCall {
+	if len(o.running) == 0 {
+		t.Skip("no call runs")
+	}
+	ids := make([]int, 0, len(o.running))
+	for id := range o.running {
+		ids = append(ids, int(id))
+	}
+	id := CallID(rapid.SampledFrom(sorted(ids)).Draw(t, "call"))
+	c := o.running[id]
+	delete(o.running, id)
+	return c
+}
+
+func sorted(ids []int) []int {
+	for i := range ids {
+		for k := i; k > 0 && ids[k] < ids[k-1]; k-- {
+			ids[k], ids[k-1] = ids[k-1], ids[k]
+		}
+	}
+	return ids
+}
+
+func (o *oracle) reply(t *rapid.T) {
+	c := o.some(t)
+	o.tick(Replied{Call: c.Call, Reply: Reply{
+		Status: 200, Signature: string(c.Request) + ":" + string(o.services[c.Call]), Body: []byte(record("a")),
+	}})
+}
+
+func (o *oracle) decline(t *rapid.T) {
+	c := o.some(t)
+	o.runs[c.Request]--
+	moved := rapid.Bool().Draw(t, "moved")
+	if moved {
+		o.tick(Replied{Call: c.Call, Reply: Reply{Status: 421, Misdirected: true}})
+		return
+	}
+	o.tick(Replied{Call: c.Call, Reply: Reply{Status: 503, NotRun: true}})
+}
+
+func (o *oracle) lose(t *rapid.T) {
+	c := o.some(t)
+	notRun := rapid.Bool().Draw(t, "notRun")
+	if notRun {
+		o.runs[c.Request]--
+	}
+	o.tick(CallFailed{Call: c.Call, Failure: model.FailureLost, NotRun: notRun})
+}
+
+func (o *oracle) fail(t *rapid.T) {
+	c := o.some(t)
+	signature := ""
+	if rapid.Bool().Draw(t, "signed") {
+		signature = string(c.Request) + ":error"
+	}
+	o.tick(Replied{Call: c.Call, Reply: Reply{Status: 500, Signature: signature}})
+}
+
+// repeat sends an outcome that came before once more, as a late reply does.
+func (o *oracle) repeat(t *rapid.T) {
+	id := CallID(rapid.IntRange(1, 50).Draw(t, "late"))
+	if _, ok := o.running[id]; !ok {
+		o.tick(Replied{Call: id, Reply: Reply{Status: 200, Signature: "late"}})
+	}
+}
+
+func (o *oracle) depart(t *rapid.T) {
+	h := Handle(rapid.IntRange(1, int(o.handles)+1).Draw(t, "caller"))
+	if o.live[h] {
+		o.tick(CallerGone{Handle: h})
+	}
+}
+
+func (o *oracle) drain(t *rapid.T) {
+	name := rapid.SampledFrom(shards(o.version)).Draw(t, "service")
+	domain := rapid.SampledFrom([]string{"d1", "d2"}).Draw(t, "domain")
+	id := registration(string(name), domain).Searcher.ID
+	o.leaving[id] = !o.leaving[id]
+	o.publish()
+}
+
+func (o *oracle) pass(t *rapid.T) {
+	end := o.at.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+	for next := o.Next(); !next.IsZero() && !next.After(end); next = o.Next() {
+		o.at = next
+		o.tick()
+	}
+	o.at = end
+}
+
+// TestRelayUnderFaults drives the world with replies, refusals, losses, late
+// replies, drains and new versions, and checks that each request has one answer,
+// that parts are of one set and counted truly, that a request is said not to
+// have run only if that is proved, that one that is not idempotent runs once,
+// that leaving searchers get no work, and that extra calls stay in the budget.
+func TestRelayUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := newOracle(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": o.arrive, "arrive more": o.arrive, "reply": o.reply, "reply more": o.reply,
+			"decline": o.decline, "lose": o.lose, "fail": o.fail, "repeat": o.repeat, "depart": o.depart,
+			"drain": o.drain, "publish": func(*rapid.T) { o.publish() }, "pass": o.pass,
+			"": func(t *rapid.T) {
+				for h, path := range o.paths {
+					if path == "/once/q" && o.runs[requestID(h)] > 1 {
+						t.Fatalf("request %d may have run %d times", h, o.runs[requestID(h)])
+					}
+				}
+			},
+		})
+		// Without any more outcomes, every request ends by its deadline.
+		o.at = o.at.Add(2 * time.Second)
+		for range 3 {
+			o.tick()
+			o.at = o.at.Add(time.Second)
+		}
+		if len(o.live) > 0 || o.Running() > 0 || o.calls.Len() > 0 {
+			t.Fatalf("%d requests and %d calls were never ended", len(o.live), o.calls.Len())
+		}
+	})
+}
