--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -229,3 +229,24 @@
 		})
 	}
 }
+
+// TestShedLowersTheCallsInFlight guards against calls that a full searcher
+// refuses again and again, each of which costs retry budget, while they could
+// wait on this host.
+func TestShedLowersTheCallsInFlight(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, func(v *View, _ *model.Route) {
+		v.Fleet.Registrations = v.Fleet.Registrations[:1]
+		v.HostCount = 6 // three connections
+	})
+	for range 3 {
+		l.ask("/all/q")
+	}
+	is.Equal(len(l.sent), 3)
+	l.shed(l.sent[0])
+	l.shed(l.sent[1])
+	l.ask("/all/q")
+	is.Equal(len(l.sent), 3) // waits, although two connections are free
+	l.reply(l.sent[2], record("a"))
+	is.Equal(len(l.sent), 4)
+}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -51,7 +51,7 @@
 		if s.gone || s.connections.Most == 0 || slices.Contains(p.tried, id) {
 			continue
 		}
-		if s.inFlight >= s.connections.Most {
+		if s.full() {
 			busy = true
 			continue
 		}
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -64,6 +64,8 @@
 		w.note("searcher has moved", "searcher", w.searchers.Key(c.searcher),
 			"address", s.registration.Searcher.Address, "request", c.request)
 		w.searcher.Set(c.searcher, s.withGone())
+	} else {
+		w.searcher.Set(c.searcher, s.withShed())
 	}
 	w.endCall(id, c, w.now.Sub(c.sent), true)
 	w.failPart(id, c, reason, model.MissingRefused, true)
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -157,6 +157,9 @@
 	// connections is what this host may open to it.
 	connections Connections
 	inFlight    int
+	// limit bounds the calls in flight; it falls when the searcher refuses calls
+	// for lack of capacity.
+	limit policy.Limit
 	// progressAt is when the searcher last answered, or got work while idle.
 	progressAt time.Time
 	// ratio is the smoothed ratio of its latencies to the usual ones of the
@@ -213,6 +216,7 @@
 	if answered {
 		s.progressAt = now
 		s.lost, s.avoidUntil = 0, time.Time{}
+		s.limit = s.limit.WithSuccess()
 	}
 	return s
 }
@@ -241,9 +245,18 @@
 
 func (s searcher) withConnections(c Connections) searcher {
 	s.connections = c
+	s.limit = s.limit.WithMost(c.Most)
 	return s
 }
 
+func (s searcher) withShed() searcher {
+	s.limit = s.limit.WithShed()
+	return s
+}
+
+// full reports whether the searcher has as many calls as it may get from here.
+func (s searcher) full() bool { return s.inFlight >= min(s.connections.Most, s.limit.Value()) }
+
 // service is the cell of a service. The containers behind the pointers belong
 // to this world.
 type service struct {
