--- a/internal/conf/relay.go
+++ b/internal/conf/relay.go
@@ -96,11 +96,11 @@
 		Platform: model.Address(r.address("platform")),
 		LogLevel: r.word("logLevel", "info", "trace", "debug", "info", "warn", "error"),
 		Cores:    r.number("cores", 1, maxLanes),
-		CPUShare: r.fraction("cpuShare", 1, 0, 1), LinkMbps: r.fraction("linkMbps", defaultLinkMbps, 0, maxLinkMbps),
+		CPUShare: r.fraction("cpuShare", 1, 1), LinkMbps: r.fraction("linkMbps", defaultLinkMbps, maxLinkMbps),
 		MemoryMB:   r.number("memoryMb", defaultRelayMemory, maxMemoryMB),
 		AddressTTL: ms("addressTtlMs", defaultAddressTTL), Grace: ms("graceMs", defaultGraceMs),
-		RetryShare:  r.fraction("retryShare", defaultRetryShare, 0, 1),
-		RetrySlack:  r.fraction("retrySlack", defaultRetrySlack, 0, maxRetrySlack),
+		RetryShare:  r.fraction("retryShare", defaultRetryShare, 1),
+		RetrySlack:  r.fraction("retrySlack", defaultRetrySlack, maxRetrySlack),
 		RetryWindow: ms("retryWindowMs", defaultWindowMs),
 	}
 	r.distinct()
@@ -110,11 +110,11 @@
 	return s, r.finish()
 }
 
-// fraction returns a number that need not be whole.
-func (r *reader) fraction(key string, byDefault, low, high float64) float64 {
+// fraction returns an optional number from 0 to a bound, which need not be whole.
+func (r *reader) fraction(key string, byDefault, high float64) float64 {
 	n := byDefault
-	if r.take(key, false, &n, "a number") && (n < low || n > high) {
-		r.problem(key, "%g is out of range; allowed: a number from %g to %g", n, low, high)
+	if r.take(key, false, &n, "a number") && (n < 0 || n > high) {
+		r.problem(key, "%g is out of range; allowed: a number from 0 to %g", n, high)
 	}
 	return n
 }
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -108,9 +108,9 @@
 // last returns the call that was started last.
 func (l *lane) last() StartCall { return l.sent[len(l.sent)-1] }
 
-// left returns how many extra calls the budget of a service still allows.
-func (l *lane) left(name model.ServiceName) float64 {
-	id, _ := l.services.Find(name)
+// left returns how many extra calls the budget of the first service still allows.
+func (l *lane) left() float64 {
+	id, _ := l.services.Find("shard-0")
 	return l.service.Get(id).extras.Left(l.at)
 }
 
@@ -126,13 +126,13 @@
 	l.ask("/all/b") // takes the only connection to the other searcher
 	second := l.last()
 	is.True(first.Searcher.ID != second.Searcher.ID)
-	before := l.left("shard-0")
+	before := l.left()
 	l.shed(first) // its part must wait for the other searcher
 	is.Equal(len(l.sent), 2)
 	l.reply(second, "")
 	is.Equal(len(l.sent), 3)
 	is.Equal(l.last().Searcher.ID, second.Searcher.ID)
-	is.Equal(l.left("shard-0"), before-1)
+	is.Equal(l.left(), before-1)
 }
 
 // TestFreshProcessHasNoSlack guards against a host that is restarted and spends
@@ -141,9 +141,9 @@
 	is := is.New(t)
 	l := newLane(1, nil)
 	l.ask("/all/a")
-	is.True(l.left("shard-0") < 1)
+	is.True(l.left() < 1)
 	l.wait(l.Bounds.RetryWindow)
-	is.True(l.left("shard-0") > 30)
+	is.True(l.left() > 30)
 }
 
 // TestUnknownHostsGetTheirShare guards against a host that does not know its
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// proxyMode is what a proxy does with bytes.
+type proxyMode int
+
+const (
+	proxyPass proxyMode = iota
+	// proxyDelay holds each piece for a while.
+	proxyDelay
+	// proxySilent drops all bytes and leaves connections open.
+	proxySilent
+	// proxyOneWay drops the bytes towards the caller.
+	proxyOneWay
+	proxyModes
+)
+
+// proxyDelayTime is how long proxyDelay holds each piece.
+const proxyDelayTime = 40 * time.Millisecond
+
+// proxy is a loopback TCP proxy in front of one address.
+type proxy struct {
+	listener net.Listener
+	to       string
+
+	mu    sync.Mutex
+	mode  proxyMode
+	conns map[net.Conn]bool
+}
+
+func newProxy(t *testing.T, to string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: listener, to: to, conns: map[net.Conn]bool{}}
+	go p.accept()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		p.reset()
+	})
+	return p
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) accept() {
+	for {
+		caller, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", p.to)
+		if err != nil {
+			_ = caller.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.conns[caller], p.conns[server] = true, true
+		p.mu.Unlock()
+		go p.copy(server, caller, false)
+		go p.copy(caller, server, true)
+	}
+}
+
+func (p *proxy) copy(to, from net.Conn, back bool) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		switch mode := p.current(); {
+		case n == 0, mode == proxySilent, mode == proxyOneWay && back:
+		default:
+			if mode == proxyDelay {
+				time.Sleep(proxyDelayTime)
+			}
+			if _, failed := to.Write(buffer[:n]); failed != nil {
+				err = io.EOF
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	p.mu.Lock()
+	delete(p.conns, to)
+	delete(p.conns, from)
+	p.mu.Unlock()
+	_ = to.Close()
+	_ = from.Close()
+}
+
+func (p *proxy) current() proxyMode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+func (p *proxy) set(mode proxyMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+}
+
+// reset ends all connections with a reset.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/soak/stand_test.go
@@ -0,0 +1,158 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// searcherMode is how a searcher answers.
+type searcherMode int
+
+const (
+	searcherGood searcherMode = iota
+	searcherSlow
+	// searcherFull refuses without running the request.
+	searcherFull
+	// searcherFailing runs the request and answers with a signed failure.
+	searcherFailing
+	// searcherLosing runs the request and closes the connection.
+	searcherLosing
+	// searcherShort runs the request and cuts its answer short.
+	searcherShort
+	searcherModes
+)
+
+const slowTime = 250 * time.Millisecond
+
+// searcher is a stand-in of a searcher, behind a proxy.
+type searcher struct {
+	id, service string
+	proxy       *proxy
+	ran         *ledger
+
+	mu   sync.Mutex
+	mode searcherMode
+}
+
+// ledger counts the runs of each request at each service.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (l *ledger) run(request, service string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[request+" "+service]++
+}
+
+func (l *ledger) count(request, service string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[request+" "+service]
+}
+
+func newSearcher(t *testing.T, id, service string, ran *ledger) *searcher {
+	t.Helper()
+	s := &searcher{id: id, service: service, ran: ran}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	s.proxy = newProxy(t, server.Listener.Addr().String())
+	return s
+}
+
+// entry is what the searcher says of itself.
+func (s *searcher) entry(state string) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"d1","version":"v1","slots":4,"state":%q,`+
+		`"warmup-left-ms":0,"sequence":1,"born":1}`, s.service, s.proxy.address(), state)
+}
+
+func (s *searcher) set(mode searcherMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = mode
+}
+
+func (s *searcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	mode := s.mode
+	s.mu.Unlock()
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	switch {
+	case r.Header.Get("X-Expect-Instance") != s.id:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case mode == searcherFull:
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.ran.run(id, s.service)
+	w.Header().Set("X-Server-Stamp", signature(id, s.service))
+	switch mode {
+	case searcherSlow:
+		time.Sleep(slowTime)
+	case searcherFailing:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case searcherLosing:
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = conn.Close()
+		}
+		return
+	case searcherShort:
+		w.Header().Set("Content-Length", "1000")
+	}
+	_, _ = w.Write(part(id, s.service))
+}
+
+func signature(id, service string) string { return id + "." + service }
+
+// part returns the records of a request at a service.
+func part(id, service string) []byte {
+	var records []byte
+	for i := range 4 {
+		records = append(records, fmt.Sprintf("%08x%08x", hash(fmt.Sprint(id, service, i)), i)...)
+	}
+	return records
+}
+
+func hash(s string) uint32 {
+	sum := uint32(2166136261)
+	for _, b := range []byte(s) {
+		sum = (sum ^ uint32(b)) * 16777619
+	}
+	return sum
+}
+
+// checkMerged compares a merged answer with the parts that it names.
+func checkMerged(id string, set []string, header http.Header, body []byte, keep int) error {
+	var records [][]byte
+	named := strings.Split(header.Get("X-Merge-Parts"), ", ")
+	for i, s := range named {
+		service := strings.TrimPrefix(s, id+".")
+		if !slices.Contains(set, service) || slices.Contains(named[:i], s) {
+			return fmt.Errorf("part %q is none of %v or named twice", s, set)
+		}
+		for rest := part(id, service); len(rest) > 0; rest = rest[16:] {
+			records = append(records, rest[:16])
+		}
+	}
+	if missing := header.Get("X-Missing-Shards"); missing != "" && missing != fmt.Sprint(len(set)-len(named)) ||
+		missing == "" && len(named) != len(set) {
+		return fmt.Errorf("%d of %d parts are named, %q are said to be missing", len(named), len(set), missing)
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	if want := bytes.Join(records[:min(keep, len(records))], nil); !bytes.Equal(body, want) {
+		return fmt.Errorf("the records are not the greatest of the parts")
+	}
+	return nil
+}
