--- a/internal/feed/receive.go
+++ b/internal/feed/receive.go
@@ -67,7 +67,7 @@
 	if gone >= outage {
 		w.backAt = w.now
 	}
-	w.note("platform regained", "topic", t.String(), "away", gone, "asOf", asOf)
+	w.note("platform regained", "topic", t.String(), "awayMs", gone.Milliseconds(), "asOf", asOf)
 }
 
 // readBoth notes that a host that does not follow the store has just read both
@@ -170,7 +170,7 @@
 		if w.away {
 			until = w.now.Add(lapseGrace)
 		}
-		w.note("entry missing after an outage", "searcher", w.entries.Key(id), "until", until.Sub(w.now))
+		w.note("entry missing after an outage", "searcher", w.entries.Key(id), "keptMs", until.Sub(w.now).Milliseconds())
 		e.lapsed = until
 		w.entry.Set(id, e)
 		return
@@ -215,7 +215,7 @@
 	w.topic.Set(id, cell.withFailure(next))
 	if !w.away {
 		w.away, w.awaySince = true, e.Begun
-		w.warn("platform lost", "topic", t.String(), "cause", e.Cause, "since", w.now.Sub(e.Begun))
+		w.warn("platform lost", "topic", t.String(), "cause", e.Cause, "callMs", w.now.Sub(e.Begun).Milliseconds())
 	}
 }
 
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -33,7 +33,7 @@
 			w.emit(Count{"retry", string(p.again)})
 			w.request.Set(p.request, r.withRetry())
 			w.note("part sent again", "request", r.ask.ID, "service", w.services.Key(p.service),
-				"searcher", w.searchers.Key(best), "reason", p.again, "elapsed", w.now.Sub(r.ask.Arrived))
+				"searcher", w.searchers.Key(best), "reason", p.again, "elapsedMs", milliseconds(w.now.Sub(r.ask.Arrived)))
 		} else {
 			w.service.Get(p.service).extras.Earn(w.now)
 		}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -36,11 +36,12 @@
 		w.emit(Count{"hedge", "noReplica"})
 	case !w.service.Get(p.service).extras.Spend(w.now):
 		w.emit(Count{"hedge", "budgetExhausted"})
+		w.request.Set(p.request, r.withDeniedHedge())
 		w.hedges.Add(w.now.Add(hedgeRetry), row)
 	default:
 		w.emit(Count{"hedge", "sent"})
 		w.note("second searcher asked", "request", r.ask.ID, "service", w.services.Key(p.service),
-			"searcher", w.searchers.Key(best), "elapsed", w.now.Sub(r.ask.Arrived))
+			"searcher", w.searchers.Key(best), "elapsedMs", milliseconds(w.now.Sub(r.ask.Arrived)))
 		w.request.Set(p.request, r.withHedge())
 		w.send(row, best, true)
 	}
@@ -149,8 +150,8 @@
 func (w *World) noteAnswer(r request, a Answer) {
 	took := w.now.Sub(r.ask.Arrived)
 	facts := []any{
-		"request", r.ask.ID, "route", r.route.Name, "version", r.version, "took", took,
-		"hedges", r.hedges, "retries", r.retries,
+		"request", r.ask.ID, "route", r.route.Name, "version", r.version, "tookMs", milliseconds(took),
+		"hedges", r.hedges, "hedgesDenied", r.denied, "retries", r.retries, "fleet", w.view.Fleet.Revision,
 	}
 	switch a.Kind {
 	case Refused:
@@ -170,7 +171,8 @@
 	w.note("request answered", facts...)
 }
 
-// missing lists the services without a part and why.
+// missing lists the services without a part, why, and the searchers that were
+// asked.
 func (w *World) missing(r request) []string {
 	var list []string
 	for _, row := range r.parts {
@@ -182,7 +184,11 @@
 		if p.state == partOpen {
 			reason = string(model.MissingCutOff)
 		}
-		list = append(list, string(w.services.Key(p.service))+":"+reason)
+		text := string(w.services.Key(p.service)) + ":" + reason
+		for _, id := range p.tried {
+			text += "@" + string(w.searchers.Key(id))
+		}
+		list = append(list, text)
 	}
 	return list
 }
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -94,7 +94,7 @@
 	if e.Failure != model.FailureCancelled {
 		w.searcher.Set(c.searcher, w.searcher.Get(c.searcher).withLoss(w.now))
 		w.note("call failed", "request", c.request, "searcher", w.searchers.Key(c.searcher), "failure", e.Failure.String(),
-			"notRun", e.NotRun, "elapsed", w.now.Sub(c.sent), "cause", e.Cause)
+			"notRun", e.NotRun, "elapsedMs", milliseconds(w.now.Sub(c.sent)), "cause", e.Cause)
 	}
 	w.emit(Count{"callFailed", e.Failure.String()})
 	w.endCall(id, c, w.now.Sub(c.sent), true)
@@ -169,7 +169,7 @@
 		}
 		r := w.request.Get(id)
 		w.emit(Count{"refusal", string(model.ReasonCallerCancelled)})
-		w.note("caller went away", "request", r.ask.ID, "route", r.route.Name, "elapsed", w.now.Sub(r.ask.Arrived))
+		w.note("caller went away", "request", r.ask.ID, "route", r.route.Name, "elapsedMs", milliseconds(w.now.Sub(r.ask.Arrived)))
 		w.respond(id, refused(model.NewRefusal(model.ReasonCallerCancelled, "the caller went away").WithExecution(r.execution())))
 	})
 }
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -27,6 +27,8 @@
 	// exposed counts the calls that may have run.
 	exposed         int
 	hedges, retries int
+	// denied counts the second calls that the retry budget did not allow yet.
+	denied int
 }
 
 func (r request) withPart(id table.ID) request {
@@ -53,6 +55,11 @@
 	return r
 }
 
+func (r request) withDeniedHedge() request {
+	r.denied++
+	return r
+}
+
 func (r request) withRetry() request {
 	r.retries++
 	return r
--- a/internal/relay/world.go
+++ b/internal/relay/world.go
@@ -182,4 +182,7 @@
 
 func (w *World) emit(c Command) { w.out = append(w.out, c) }
 
+// milliseconds returns a duration for the log.
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 func (w *World) note(text string, facts ...any) { w.emit(Note{Text: text, Facts: facts}) }
