--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -86,6 +86,7 @@
 type check struct {
 	console
 	settings string
+	relay    string
 	tree     string
 }
 
@@ -99,8 +100,9 @@
 
 // Usage returns the help text.
 func (*check) Usage() string {
-	return `check [-settings FILE] [-tree FILE]:
-  Checks the settings file of an entry host, a settings tree, or both. A tree
+	return `check [-settings FILE] [-relay FILE] [-tree FILE]:
+  Checks the settings file of an entry host, that of a host on the users'
+  platform, a settings tree, or several of them. A tree
   file holds {"nodes":[{"path":"/","values":{"weight":2}}, ...]}. Exit status 2
   if a file is invalid.
   Example: toucanpulley check -settings host.json
@@ -111,13 +113,20 @@
 // SetFlags defines the flags.
 func (c *check) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "settings file of the host")
+	f.StringVar(&c.relay, "relay", "", "settings file of a host on the users' platform")
 	f.StringVar(&c.tree, "tree", "", "file of a settings tree")
 }
 
 // Execute runs the command.
 func (c *check) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if c.settings == "" && c.tree == "" {
-		return c.usage("check: -settings or -tree is required")
+	if c.settings == "" && c.relay == "" && c.tree == "" {
+		return c.usage("check: -settings, -relay or -tree is required")
+	}
+	if c.relay != "" {
+		if _, err := conf.LoadRelay(c.relay); err != nil {
+			return c.fail(err)
+		}
+		c.printf("%s is valid\n", c.relay)
 	}
 	if c.settings != "" {
 		if err := checkSettings(c.settings); err != nil {
--- /dev/null
+++ b/internal/conf/relay_test.go
@@ -0,0 +1,41 @@
+package conf
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const relaySettings = `{"host":"h-1","failureDomain":"d","region":"r","entryAddress":"10.0.0.1:1",
+"readyAddress":"10.0.0.1:2","directoryAddress":"10.0.0.1:3","peerAddress":"10.0.0.1:4","metricsAddress":"10.0.0.1:5",
+"platform":"10.0.0.9:1","cpuShare":0.4,"linkMbps":1000}`
+
+// TestRelaySettings covers settings that must be refused with the place of the
+// problem.
+func TestRelaySettings(t *testing.T) {
+	for _, test := range []struct{ name, old, new, path string }{
+		{"valid", "", "", ""},
+		{"missing", `"region":"r",`, "", "region"},
+		{"no address", `10.0.0.1:3`, `nowhere`, "directoryAddress"},
+		{"address twice", `10.0.0.1:3`, `10.0.0.1:2`, "directoryAddress"},
+		{"share above one", `0.4`, `1.5`, "cpuShare"},
+		{"wrong type", `"linkMbps":1000`, `"linkMbps":"fast"`, "linkMbps"},
+		{"unknown key", `"cpuShare"`, `"cpuShares"`, "cpuShares"},
+		{"no JSON", `{"host"`, `host`, "(file)"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := ParseRelay([]byte(strings.Replace(relaySettings, test.old, test.new, 1)))
+			if test.path == "" {
+				is.NoErr(err)
+				is.Equal(s.Capacity(), 400)
+				return
+			}
+			var bad *Invalid
+			is.True(errors.As(err, &bad))
+			is.Equal(bad.Problems[0].Path, test.path)
+		})
+	}
+}
