--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -18,11 +18,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/relay"
 )
@@ -53,8 +56,6 @@
 	keepAliveIdle     = 1500 * time.Millisecond
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
-	// tcpUserTimeout is the socket option of that name in linux/tcp.h.
-	tcpUserTimeout = 0x12
 	// inlineWrite is the largest message in bytes that is written by the caller
 	// of Start. An idle connection has room for it, so the write cannot block.
 	inlineWrite = 8 << 10
@@ -73,7 +74,7 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failed error
 			err := raw.Control(func(fd uintptr) {
-				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTime.Milliseconds()))
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds()))
 			})
 			if err != nil {
 				return err
@@ -84,6 +85,27 @@
 	return d.DialContext(ctx, "tcp", string(address))
 }
 
+// RoundTrip returns the round trip time that the kernel has measured on a TCP
+// connection, in steps of a microsecond.
+func RoundTrip(c net.Conn) (time.Duration, error) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return 0, errors.New("not a TCP connection")
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var info *unix.TCPInfo
+	var failed error
+	if err := raw.Control(func(fd uintptr) {
+		info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}); err != nil || failed != nil {
+		return 0, errors.Join(err, failed)
+	}
+	return time.Duration(info.Rtt) * time.Microsecond, nil
+}
+
 // Outcome is a reply as it was read, with what it says of its connection.
 type Outcome struct {
 	Reply relay.Reply
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -66,7 +66,7 @@
 	}
 	services := route.Shards
 	if route.Scattered() {
-		r.cutoff = ask.Arrived.Add(max(route.Target-answerMargin, route.Target/2))
+		r.cutoff = ask.Arrived.Add(timeToAnswer(ask, route))
 		w.ends.Add(r.cutoff, id)
 	} else {
 		services = []model.ServiceName{w.pickShare(r.class, route)}
@@ -83,6 +83,16 @@
 	}
 }
 
+// timeToAnswer returns the time after which an answer with the required coverage
+// is sent, so that it reaches its caller within the target.
+func timeToAnswer(ask Request, route model.Route) time.Duration {
+	trip := ask.RoundTrip
+	if trip == 0 {
+		trip = usualTrip
+	}
+	return max(route.Target-callerTrips*trip-answerMargin, route.Target/2)
+}
+
 // pickShare returns the service of a request on a route with shares, by smooth
 // weighted round robin: each share gains its weight, the one with the most goes
 // and pays the sum.
--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -250,3 +250,24 @@
 	l.reply(l.sent[2], record("a"))
 	is.Equal(len(l.sent), 4)
 }
+
+// TestAnswersToFarCallersLeaveEarlier guards against answers that leave this host
+// within the target and reach a far caller after it.
+func TestAnswersToFarCallersLeaveEarlier(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		trip time.Duration
+		want time.Duration
+	}{
+		{"near", 2 * time.Millisecond, 136 * time.Millisecond},
+		{"far", 15 * time.Millisecond, 110 * time.Millisecond},
+		{"not known", 0, 128 * time.Millisecond},
+		{"very far", time.Second, 75 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			route := model.Route{Target: 150 * time.Millisecond}
+			is.Equal(timeToAnswer(Request{RoundTrip: test.trip}, route), test.want)
+		})
+	}
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -24,6 +24,9 @@
 	// from then on; zero if the caller does not say.
 	Arrived  time.Time
 	Patience time.Duration
+	// RoundTrip is how long a packet takes to the caller and back; zero if it is
+	// not known.
+	RoundTrip time.Duration
 	// Message is the request as it goes to searchers. The world does not look
 	// into it.
 	Message any
--- a/internal/relay/world.go
+++ b/internal/relay/world.go
@@ -27,10 +27,16 @@
 )
 
 const (
-	// answerMargin is kept between the cut-off of an answer and the target of
-	// its route: two ways of up to 3 ms to the caller, its connection setup, and
-	// the time to merge and write.
-	answerMargin = 16 * time.Millisecond
+	// callerTrips is the number of round trips between the moment at which a
+	// caller begins to count and the one at which it has its answer, without the
+	// time on this host: one for the request, and one to connect.
+	callerTrips = 2
+	// usualTrip is the round trip of a caller of which it is not known.
+	usualTrip = 6 * time.Millisecond
+	// answerMargin is kept between the cut-off of an answer and the target of its
+	// route besides the caller's round trips, to merge and write the answer and
+	// for delays of the links, which vary by a third.
+	answerMargin = 10 * time.Millisecond
 	// lingerTime is how long a call that nobody waits for may go on before its
 	// connection is closed. Most end earlier and leave the connection usable; a
 	// searcher must not work 500 ms longer than its caller waits.
@@ -40,8 +46,8 @@
 	// latencySamples is the number of recent calls in the statistics of a route.
 	latencySamples = 256
 	// hedgeQuantile is the share of calls of a route that are answered before a
-	// second searcher is asked; 1 in 10 fits twice into the usual budget of 0.2.
-	hedgeQuantile = 0.9
+	// second searcher is asked; 1 in 20 fits four times into the usual budget of 0.2.
+	hedgeQuantile = 0.95
 	// hedgeFloor is the shortest wait before a second searcher is asked; a way
 	// to another failure domain and back takes 9 ms.
 	hedgeFloor = 10 * time.Millisecond
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -58,8 +58,8 @@
 
 // host is an entry host in a process of its own.
 type host struct {
-	file, entry, ready string
-	command            *exec.Cmd
+	file, entry string
+	command     *exec.Cmd
 }
 
 // run is one seed's run.
@@ -103,28 +103,29 @@
 			r.store.Put("servers", s.id, s.entry("ready"))
 		}
 	}
-	// Daemons find each other on one port, so each has a loopback address of its own.
-	_, port, err := net.SplitHostPort(free(t))
-	if err != nil {
-		t.Fatal(err)
-	}
+	ports := free(t, 5)
 	var peers []string
 	for i := range hosts {
-		peers = append(peers, fmt.Sprintf("127.0.1.%d:%s", i+1, port))
+		peers = append(peers, address(i, ports[0]))
 	}
 	for i := range hosts {
-		r.hosts = append(r.hosts, r.newHost(i, peers))
+		r.hosts = append(r.hosts, r.newHost(i, ports, peers))
 	}
 	return r
 }
 
+// address returns an address of a host. Each has a loopback address of its own
+// and all use the same ports, on which daemons find each other.
+func address(host, port int) string { return fmt.Sprintf("127.0.1.%d:%d", host+1, port) }
+
 // newHost starts a host with the addresses of its peers as seeds.
-func (r *run) newHost(i int, peers []string) *host {
-	h := &host{file: filepath.Join(r.t.TempDir(), fmt.Sprintf("host-%d.json", i)), entry: free(r.t), ready: free(r.t)}
+func (r *run) newHost(i int, ports []int, peers []string) *host {
+	h := &host{file: filepath.Join(r.t.TempDir(), fmt.Sprintf("host-%d.json", i)), entry: address(i, ports[1])}
 	settings := map[string]any{
 		"host": fmt.Sprintf("host-%d", i), "failureDomain": "d1", "region": "r", "entryAddress": h.entry,
-		"readyAddress": h.ready, "directoryAddress": free(r.t), "peerAddress": peers[i], "metricsAddress": free(r.t),
-		"platform": r.storage.address(), "graceMs": 3000, "addressTtlMs": 200, "seeds": peers,
+		"readyAddress": address(i, ports[2]), "directoryAddress": address(i, ports[3]), "peerAddress": peers[i],
+		"metricsAddress": address(i, ports[4]),
+		"platform":       r.storage.address(), "graceMs": 3000, "addressTtlMs": 200, "seeds": peers,
 	}
 	data, err := json.Marshal(settings)
 	if err == nil {
@@ -138,14 +139,21 @@
 	return h
 }
 
-func free(t *testing.T) string {
+// free returns distinct ports that nothing listens on.
+func free(t *testing.T, n int) []int {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var ports []int
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.1.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }() // all at the end, so that no port comes twice
+		if a, ok := listener.Addr().(*net.TCPAddr); ok {
+			ports = append(ports, a.Port)
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return ports
 }
 
 func (r *run) start(h *host) {
