--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -43,8 +43,6 @@
 	NotRun bool
 	// Misdirected is set if another searcher has the address.
 	Misdirected bool
-	// Leaving is set if the searcher closes the connection after this answer.
-	Leaving bool
 	// Message is what else belongs to the answer. The world does not look into it.
 	Message any
 }
