--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -313,16 +313,25 @@
 
 // pushTo pushes what this host holds to a few of the peers that are chosen.
 func (w *Relay) pushTo(chosen func(model.Member) bool) {
+	for _, h := range somePeers(w.Random, w.members, w.member, relayFanout, func(m model.Member) bool {
+		return m.Host.ID != w.Self.ID && chosen(m)
+	}) {
+		w.emit(PushTo{Peer: h, Gossip: w.gossip(nil)})
+	}
+}
+
+// somePeers returns a few live members that are chosen, in random order.
+func somePeers(random *rand.Rand, members *table.Table[model.HostID], member *table.Column[model.Member],
+	most int, chosen func(model.Member) bool,
+) []model.Host {
 	var list []model.Host
-	for id := range w.members.All() {
-		if m := w.member.Get(id); m.Host.ID != w.Self.ID && live(m) && chosen(m) {
+	for id := range members.All() {
+		if m := member.Get(id); live(m) && chosen(m) {
 			list = append(list, m.Host)
 		}
 	}
-	w.Random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	for _, h := range list[:min(len(list), relayFanout)] {
-		w.emit(PushTo{Peer: h, Gossip: w.gossip(nil)})
-	}
+	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), most)]
 }
 
 // live reports whether a member may answer. A suspect counts, as most suspicions
--- a/internal/ctrl/world.go
+++ b/internal/ctrl/world.go
@@ -314,15 +314,8 @@
 		w.alarm.At(w.nextAnnounce)
 		return
 	}
-	var list []model.Host
-	for id := range w.members.All() {
-		m := w.member.Get(id)
-		if m.Host.ID != w.Self.ID && (m.State == model.MemberAlive || m.State == model.MemberSuspect) {
-			list = append(list, m.Host)
-		}
-	}
-	w.Random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	for _, h := range list[:min(len(list), w.root.PushFanout)] {
+	others := func(m model.Member) bool { return m.Host.ID != w.Self.ID }
+	for _, h := range somePeers(w.Random, w.members, w.member, w.root.PushFanout, others) {
 		w.emit(PushTo{Peer: h, Gossip: w.gossip(nil)})
 	}
 	w.rounds--
--- a/internal/daemon/lane.go
+++ b/internal/daemon/lane.go
@@ -30,8 +30,8 @@
 	report func(query.Report)
 
 	calls   sync.WaitGroup
+	waiting *pending[model.RequestID, model.Answer]
 	mu      sync.Mutex
-	waiting map[model.RequestID]chan model.Answer
 	cancels map[callID]context.CancelFunc
 	asked   map[uint64]chan query.Status
 }
@@ -39,7 +39,7 @@
 func newLane(world *query.World, pool *dial.Pool, m *meter.Meter, log hclog.Logger) *lane {
 	l := &lane{
 		pool: pool, meter: m, log: log, report: func(query.Report) {},
-		waiting: map[model.RequestID]chan model.Answer{}, cancels: map[callID]context.CancelFunc{},
+		waiting: newPending[model.RequestID, model.Answer](), cancels: map[callID]context.CancelFunc{},
 		asked: map[uint64]chan query.Status{},
 	}
 	l.loop = tick.NewLoop[query.Event, query.Command](world, l.execute)
@@ -49,34 +49,20 @@
 // search hands a request to the world and waits for its answer. If the caller
 // goes away the world is told, and still answers.
 func (l *lane) search(ctx context.Context, r model.Request) model.Answer {
-	answer := make(chan model.Answer, 1)
-	l.mu.Lock()
-	l.waiting[r.ID] = answer
-	l.mu.Unlock()
+	answer := l.waiting.expect(r.ID)
 	if !l.loop.Send(query.Arrived{Request: r}) {
 		return l.abandon(r.ID)
 	}
-	gone := ctx.Done()
-	for {
-		select {
-		case a := <-answer:
-			return a
-		case <-gone:
-			gone = nil
-			if !l.loop.Send(query.CallerGone{Request: r.ID}) {
-				return l.abandon(r.ID)
-			}
-		case <-l.loop.Done():
-			return l.abandon(r.ID)
-		}
+	a, ok := awaitAnswer(ctx, answer, l.loop.Done(), func() bool { return l.loop.Send(query.CallerGone{Request: r.ID}) })
+	if !ok {
+		return l.abandon(r.ID)
 	}
+	return a
 }
 
 // abandon answers a request whose lane was closed under it.
 func (l *lane) abandon(id model.RequestID) model.Answer {
-	l.mu.Lock()
-	delete(l.waiting, id)
-	l.mu.Unlock()
+	l.waiting.drop(id)
 	return model.NewRefused(id, model.NewRefusal(model.ReasonDraining, "the host is shutting down").
 		WithExecution(model.MayHaveRun))
 }
@@ -88,7 +74,7 @@
 	case query.CancelCall:
 		l.finish(callID{c.Request, c.Attempt})
 	case query.Respond:
-		l.respond(c)
+		l.waiting.settle(c.Request, c.Answer)
 	case query.Count:
 		l.meter.Count(string(c.Counter), c.Reason)
 	case query.StatusTold:
@@ -136,16 +122,6 @@
 	}
 }
 
-func (l *lane) respond(c query.Respond) {
-	l.mu.Lock()
-	answer := l.waiting[c.Request]
-	delete(l.waiting, c.Request)
-	l.mu.Unlock()
-	if answer != nil {
-		answer <- c.Answer
-	}
-}
-
 // close stops the loop, cancels all calls and waits for them.
 func (l *lane) close() {
 	_ = l.loop.Close()
--- a/internal/daemon/relaylane.go
+++ b/internal/daemon/relaylane.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -13,52 +12,37 @@
 	"toucanpulley.example/internal/tick"
 )
 
-// relayLane runs one relay world and carries out its commands. The map of
-// waiting handlers is used by the loop's goroutine and by those of handlers.
+// relayLane runs one relay world and carries out its commands.
 type relayLane struct {
-	loop  *tick.Loop[relay.Event, relay.Command]
-	pool  *conns.Pool
-	meter *meter.Meter
-	log   hclog.Logger
-
-	mu      sync.Mutex
-	waiting map[relay.Handle]chan relay.Answer
+	loop    *tick.Loop[relay.Event, relay.Command]
+	pool    *conns.Pool
+	meter   *meter.Meter
+	log     hclog.Logger
+	waiting *pending[relay.Handle, relay.Answer]
 }
 
 func newRelayLane(world *relay.World, pool *conns.Pool, m *meter.Meter, log hclog.Logger) *relayLane {
-	l := &relayLane{pool: pool, meter: m, log: log, waiting: map[relay.Handle]chan relay.Answer{}}
+	l := &relayLane{pool: pool, meter: m, log: log, waiting: newPending[relay.Handle, relay.Answer]()}
 	l.loop = tick.NewLoop[relay.Event, relay.Command](world, l.execute)
 	return l
 }
 
 // serve hands a request to the world and waits for its answer.
 func (l *relayLane) serve(ctx context.Context, q relay.Request) relay.Answer {
-	answer := make(chan relay.Answer, 1)
-	l.mu.Lock()
-	l.waiting[q.Handle] = answer
-	l.mu.Unlock()
+	answer := l.waiting.expect(q.Handle)
 	if !l.loop.Send(relay.Arrived{Request: q}) {
 		return l.abandon(q.Handle, model.NotRun)
 	}
-	gone := ctx.Done()
-	for {
-		select {
-		case a := <-answer:
-			return a
-		case <-gone:
-			gone = nil
-			l.loop.Send(relay.CallerGone{Handle: q.Handle})
-		case <-l.loop.Done():
-			return l.abandon(q.Handle, model.MayHaveRun)
-		}
+	a, ok := awaitAnswer(ctx, answer, l.loop.Done(), func() bool { return l.loop.Send(relay.CallerGone{Handle: q.Handle}) })
+	if !ok {
+		return l.abandon(q.Handle, model.MayHaveRun)
 	}
+	return a
 }
 
 // abandon answers a request whose lane was closed under it.
 func (l *relayLane) abandon(h relay.Handle, e model.Execution) relay.Answer {
-	l.mu.Lock()
-	delete(l.waiting, h)
-	l.mu.Unlock()
+	l.waiting.drop(h)
 	refusal := model.NewRefusal(model.ReasonDraining, "the host is shutting down").WithExecution(e)
 	return relay.Answer{Kind: relay.Refused, Refusal: refusal}
 }
@@ -70,7 +54,7 @@
 	case relay.CancelCall:
 		l.pool.Cancel(c.Call)
 	case relay.Respond:
-		l.respond(c)
+		l.waiting.settle(c.Handle, c.Answer)
 	case relay.Connect:
 		l.pool.Follow(c)
 	case relay.Count:
@@ -85,13 +69,3 @@
 		}
 	}
 }
-
-func (l *relayLane) respond(c relay.Respond) {
-	l.mu.Lock()
-	answer := l.waiting[c.Handle]
-	delete(l.waiting, c.Handle)
-	l.mu.Unlock()
-	if answer != nil {
-		answer <- c.Answer
-	}
-}
