--- a/internal/conf/relay.go
+++ b/internal/conf/relay.go
@@ -32,7 +32,7 @@
 	CPUShare float64
 	// LinkMbps is the bandwidth of the machine's link, MemoryMB its memory.
 	LinkMbps float64
-	MemoryMB int
+	MemoryMB float64
 	// AddressTTL is how long callers may keep an address answer.
 	AddressTTL time.Duration
 	// Grace is the time from a request to stop until the process is killed.
@@ -47,11 +47,11 @@
 // Limits and defaults of relay settings, in the units of their keys.
 const (
 	maxMemoryMB        = 1 << 20
-	defaultAddressTTL  = 1000 // milliseconds
-	maxMilliseconds    = 600_000
-	defaultGraceMs     = 6000
+	defaultAddressTTL  = 1 // seconds
+	maxSeconds         = 600
+	defaultGrace       = 6 // seconds
 	maxRetrySlack      = 1_000_000
-	defaultWindowMs    = 10_000
+	defaultWindow      = 10 // seconds
 	defaultRetryShare  = 0.2
 	defaultRetrySlack  = 10
 	defaultRelayMemory = 256
@@ -85,9 +85,6 @@
 	if err != nil {
 		return Relay{}, err
 	}
-	ms := func(key string, byDefault int) time.Duration {
-		return time.Duration(r.number(key, byDefault, maxMilliseconds)) * time.Millisecond
-	}
 	s := Relay{
 		Host: model.HostID(r.name("host")), FailureDomain: model.FailureDomain(r.name("failureDomain")),
 		Region: model.Region(r.name("region")), Entry: model.Address(r.address("entryAddress")),
@@ -97,11 +94,11 @@
 		LogLevel: r.word("logLevel", "info", "trace", "debug", "info", "warn", "error"),
 		Cores:    r.number("cores", 1, maxLanes),
 		CPUShare: r.fraction("cpuShare", 1, 1), LinkMbps: r.fraction("linkMbps", defaultLinkMbps, maxLinkMbps),
-		MemoryMB:   r.number("memoryMb", defaultRelayMemory, maxMemoryMB),
-		AddressTTL: ms("addressTtlMs", defaultAddressTTL), Grace: ms("graceMs", defaultGraceMs),
+		MemoryMB:   r.fraction("memoryMb", defaultRelayMemory, maxMemoryMB),
+		AddressTTL: r.seconds("addressTtlSeconds", defaultAddressTTL), Grace: r.seconds("graceSeconds", defaultGrace),
 		RetryShare:  r.fraction("retryShare", defaultRetryShare, 1),
 		RetrySlack:  r.fraction("retrySlack", defaultRetrySlack, maxRetrySlack),
-		RetryWindow: ms("retryWindowMs", defaultWindowMs),
+		RetryWindow: r.seconds("retryWindowSeconds", defaultWindow),
 	}
 	r.distinct()
 	for _, a := range r.addresses("seeds", maxSeeds) {
@@ -118,3 +115,13 @@
 	}
 	return n
 }
+
+// seconds returns an optional time, at least a millisecond.
+func (r *reader) seconds(key string, byDefault float64) time.Duration {
+	const least = 0.001
+	n := byDefault
+	if r.take(key, false, &n, "a number of seconds") && (n < least || n > maxSeconds) {
+		r.problem(key, "%g is out of range; allowed: %g to %d seconds", n, least, maxSeconds)
+	}
+	return time.Duration(n * float64(time.Second))
+}
--- a/internal/conf/relay_test.go
+++ b/internal/conf/relay_test.go
@@ -4,13 +4,14 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
 
 const relaySettings = `{"host":"h-1","failureDomain":"d","region":"r","entryAddress":"10.0.0.1:1",
 "readyAddress":"10.0.0.1:2","directoryAddress":"10.0.0.1:3","peerAddress":"10.0.0.1:4","metricsAddress":"10.0.0.1:5",
-"platform":"10.0.0.9:1","cpuShare":0.4,"linkMbps":1000}`
+"platform":"10.0.0.9:1","cpuShare":0.4,"linkMbps":1000,"memoryMb":284.5,"graceSeconds":2.5}`
 
 // TestRelaySettings covers settings that must be refused with the place of the
 // problem.
@@ -21,6 +22,7 @@
 		{"no address", `10.0.0.1:3`, `nowhere`, "directoryAddress"},
 		{"address twice", `10.0.0.1:3`, `10.0.0.1:2`, "directoryAddress"},
 		{"share above one", `0.4`, `1.5`, "cpuShare"},
+		{"no time at all", `"graceSeconds":2.5`, `"retryWindowSeconds":0`, "retryWindowSeconds"},
 		{"wrong type", `"linkMbps":1000`, `"linkMbps":"fast"`, "linkMbps"},
 		{"unknown key", `"cpuShare"`, `"cpuShares"`, "cpuShares"},
 		{"no JSON", `{"host"`, `host`, "(file)"},
@@ -31,6 +33,7 @@
 			if test.path == "" {
 				is.NoErr(err)
 				is.Equal(s.Capacity(), 400)
+				is.Equal(s.Grace, 2500*time.Millisecond) // bounds need not be whole
 				return
 			}
 			var bad *Invalid
