Do not pass on searchers whose entries lapsed

Peers that had dropped a searcher by their own watch took it up again and kept it after the sender had let it go.

--- a/internal/feed/receive.go
+++ b/internal/feed/receive.go
@@ -314,19 +314,23 @@
 	}
 	fleet := model.Fleet{Revision: w.fleet, Registrations: make([]model.Registration, 0, w.entries.Len())}
 	for id := range w.entries.All() {
-		fleet.Registrations = append(fleet.Registrations, w.entry.Get(id).registration)
+		e := w.entry.Get(id)
+		fleet.Registrations = append(fleet.Registrations, e.registration.WithLapsed(!e.lapsed.IsZero()))
 	}
 	w.emit(Adopt{Catalog: Catalog{Configuration: w.configuration, Fleet: fleet}, Changed: w.loud})
 	w.dirty, w.loud = false, false
 }
 
-// hash stands for all searchers, in any order.
+// hash stands for all searchers whose entries are there, in any order.
 func (w *World) hash() uint64 {
 	var sum uint64
 	var number [8]byte
 	for id := range w.entries.All() {
-		r := w.entry.Get(id).registration
-		d := xxhash.New()
+		e := w.entry.Get(id)
+		if !e.lapsed.IsZero() {
+			continue
+		}
+		r, d := e.registration, xxhash.New()
 		_, _ = d.WriteString(string(r.Searcher.ID))
 		binary.LittleEndian.PutUint64(number[:], uint64(r.Born))
 		_, _ = d.Write(number[:])
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -218,3 +218,28 @@
 	h.wait(followAge)
 	is.Equal(calls(), before+2) // the configuration and the searchers
 }
+
+// TestLapsedEntriesAreNotPassedOn guards against a host that was cut off from the
+// store and gives its peers searchers whose entries are gone: a peer that had
+// dropped one took it up again and sent it work for three seconds.
+func TestLapsedEntriesAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	cut, other := newHost(t), newHost(t)
+	cut.start(1, "a", "b")
+	other.start(1, "a")
+	begun := cut.at
+	cut.wait(time.Second)
+	cut.result(Searchers, Failed{Begun: begun, Cause: "silent"})
+	cut.wait(time.Second)
+	cut.result(Searchers, Failed{HistoryLost: true, Begun: cut.at})
+	cut.result(Searchers, FleetRead{Registrations: registrations("a"), AsOf: 50})
+	is.Equal(len(cut.searchers()), 2) // b may come back
+	is.Equal(cut.Digest(cut.at).Hash, other.Digest(other.at).Hash)
+	lapsed := 0
+	for _, r := range cut.believed().Fleet.Registrations {
+		if r.Lapsed {
+			lapsed++
+		}
+	}
+	is.Equal(lapsed, 1)
+}
--- a/internal/model/registration.go
+++ b/internal/model/registration.go
@@ -13,6 +13,15 @@
 	WarmUp time.Duration
 	// Revision is the platform's revision of the entry.
 	Revision uint64
+	// Lapsed is set if the entry is missing after an outage of the platform and
+	// may come back. Other hosts are not told of it.
+	Lapsed bool
+}
+
+// WithLapsed returns the registration marked as missing or not.
+func (r Registration) WithLapsed(lapsed bool) Registration {
+	r.Lapsed = lapsed
+	return r
 }
 
 // Same reports whether two registrations are of one start of one searcher.
--- a/internal/wire/catalog.go
+++ b/internal/wire/catalog.go
@@ -37,7 +37,8 @@
 	Revision uint64 `json:"revision"`
 }
 
-// EncodeCatalog returns the bytes of a catalog.
+// EncodeCatalog returns the bytes of a catalog, without searchers whose entries
+// are missing.
 func EncodeCatalog(c feed.Catalog) ([]byte, error) {
 	m := catalog{
 		Version: uint64(c.Configuration.Version), Limits: c.Configuration.Limits,
@@ -47,6 +48,9 @@
 		m.Services = append(m.Services, service{Name: string(s.Name), Cap: s.ConnectionCap, HealthPath: s.HealthPath})
 	}
 	for _, r := range c.Fleet.Registrations {
+		if r.Lapsed {
+			continue
+		}
 		m.Searchers = append(m.Searchers, registration{
 			ID: string(r.Searcher.ID), Service: string(r.Service), Address: string(r.Searcher.Address),
 			Domain: string(r.Searcher.FailureDomain), Slots: r.Searcher.Slots, Leaving: r.Searcher.Leaving,
