--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -230,9 +230,7 @@
 		case feed.Adopt:
 			w.view = w.view.WithConfiguration(c.Catalog.Configuration).WithFleet(c.Catalog.Fleet)
 			w.dirty = true
-			if c.Changed {
-				w.tell()
-			}
+			w.tell()
 		case feed.Tell:
 			w.tell()
 		case feed.Contacts:
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -163,12 +163,8 @@
 	Version model.Revision
 }
 
-// Adopt puts beliefs in force.
-type Adopt struct {
-	Catalog Catalog
-	// Changed is set if a peer would want to know.
-	Changed bool
-}
+// Adopt puts changed beliefs in force. Peers would want to know.
+type Adopt struct{ Catalog Catalog }
 
 // Contacts names entry hosts for first contact.
 type Contacts struct{ Hosts []model.Host }
--- a/internal/feed/receive.go
+++ b/internal/feed/receive.go
@@ -107,7 +107,7 @@
 		return
 	}
 	w.note("configuration adopted", "version", c.Version, "former", held.Version, "source", source, "routes", c.Len())
-	w.configuration, w.dirty, w.loud = c, true, true
+	w.configuration, w.dirty = c, true
 }
 
 func (w *World) readFleet(e FleetRead) {
@@ -155,7 +155,7 @@
 		return
 	}
 	w.entry.Set(id, entry{registration: r})
-	w.dirty, w.loud = true, true
+	w.dirty = true
 }
 
 // unregister drops a searcher whose entry is missing, at once or, after an
@@ -165,7 +165,7 @@
 	if !e.lapsed.IsZero() {
 		return
 	}
-	w.dirty, w.loud = true, true
+	w.dirty = true
 	if until := w.backAt.Add(lapseGrace); w.away || w.now.Before(until) {
 		if w.away {
 			until = w.now.Add(lapseGrace)
@@ -189,7 +189,7 @@
 		default:
 			w.note("entry lapsed", "searcher", w.entries.Key(id))
 			w.entries.Remove(id)
-			w.dirty, w.loud = true, true
+			w.dirty = true
 		}
 	}
 }
@@ -317,8 +317,8 @@
 		e := w.entry.Get(id)
 		fleet.Registrations = append(fleet.Registrations, e.registration.WithLapsed(!e.lapsed.IsZero()))
 	}
-	w.emit(Adopt{Catalog: Catalog{Configuration: w.configuration, Fleet: fleet}, Changed: w.loud})
-	w.dirty, w.loud = false, false
+	w.emit(Adopt{Catalog: Catalog{Configuration: w.configuration, Fleet: fleet}})
+	w.dirty = false
 }
 
 // hash stands for all searchers whose entries are there, in any order.
--- a/internal/feed/world.go
+++ b/internal/feed/world.go
@@ -114,8 +114,8 @@
 	entry         *table.Column[entry]
 	// fleet is the revision of the newest change of a searcher.
 	fleet uint64
-	// dirty is set if beliefs changed in this tick, loud if peers should hear.
-	dirty, loud bool
+	// dirty is set if beliefs changed in this tick.
+	dirty bool
 
 	// away is set while the store does not answer, since awaySince; backAt is
 	// when it last came back after an outage.
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -197,25 +199,13 @@
 	if len(o.running) == 0 {
 		t.Skip("no call runs")
 	}
-	ids := make([]int, 0, len(o.running))
-	for id := range o.running {
-		ids = append(ids, int(id))
-	}
-	id := CallID(rapid.SampledFrom(sorted(ids)).Draw(t, "call"))
+	ids := slices.Sorted(maps.Keys(o.running))
+	id := rapid.SampledFrom(ids).Draw(t, "call")
 	c := o.running[id]
 	delete(o.running, id)
 	return c
 }
 
-func sorted(ids []int) []int {
-	for i := range ids {
-		for k := i; k > 0 && ids[k] < ids[k-1]; k-- {
-			ids[k], ids[k-1] = ids[k-1], ids[k]
-		}
-	}
-	return ids
-}
-
 func (o *oracle) reply(t *rapid.T) {
 	c := o.some(t)
 	o.tick(Replied{Call: c.Call, Reply: Reply{
