--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -157,7 +157,7 @@
 	case Refused:
 		w.emit(Count{"refusal", string(a.Refusal.Reason)})
 		facts = append(facts, "outcome", "failed", "reason", a.Refusal.Reason, "execution", a.Refusal.Execution.String(),
-			"detail", a.Refusal.Detail)
+			"detail", a.Refusal.Detail, "attempts", r.route.Attempts, "idempotent", r.route.Idempotent)
 	case Merged:
 		w.emit(Observe{"merged", took})
 		facts = append(facts, "outcome", "merged", "parts", len(a.Signatures), "missing", a.Missing)
