Recognise requests that crash searchers on the relay path

Cause: only max-attempts bounded such a request. A search over 20 shards that crashes each searcher took down 40 with each attempt of its caller, and each host learned nothing from it.

Ruled out: one call ahead of each search (every request has a path of its own, so each search would pay a round trip); refusing after two lost calls (resets and lost answers cause those too).

Lost parts are held back until a searcher has survived the request, a wave that is lost whole makes it a suspect, and after four lost waves over all hosts it is refused for 20 s and longer. The table of suspects of ctrl.World is shared with ctrl.Relay.

--- a/internal/ctrl/quarantine.go
+++ b/internal/ctrl/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -27,85 +28,124 @@
 	sent   int
 }
 
-// quarantine is the system that takes reports of lanes and entries of peers.
-// An entry with more losses replaces one with fewer; the time of an entry
-// never grows by being passed around.
-func (w *World) quarantine() {
-	tick.Each(w.inbox, func(e Reported) { w.accuse(e.Fingerprint, e.Losses, w.root.Quarantine) })
-	tick.Each(w.inbox, func(e Probed) { w.learn(e.Gossip.Quarantine) })
-	tick.Each(w.inbox, func(e Acked) { w.learn(e.Gossip.Quarantine) })
-	tick.Each(w.inbox, func(e Pushed) { w.learn(e.Gossip.Quarantine) })
+// suspects holds the requests that were running when searchers were lost, here
+// or at a peer.
+type suspects struct {
+	rows *table.Table[model.Fingerprint]
+	cell *table.Column[suspect]
+}
+
+func newSuspects() suspects {
+	rows := table.New[model.Fingerprint]()
+	return suspects{rows: rows, cell: table.NewColumn[suspect](rows)}
 }
 
-func (w *World) learn(entries []Quarantine) {
-	for _, q := range entries {
-		if q.Left > 0 && q.Losses > 0 {
-			w.accuse(q.Fingerprint, q.Losses, min(q.Left, w.root.Quarantine))
+// hear takes the reports of lanes and the entries of peers. An entry with more
+// losses replaces one with fewer; the time of an entry never grows by being
+// passed around. It reports whether a lane or a peer had anything new.
+func (s suspects) hear(inbox []Event, life time.Duration, now time.Time) (found, told bool) {
+	learn := func(g Gossip) {
+		for _, q := range g.Quarantine {
+			if q.Left > 0 && q.Losses > 0 {
+				told = s.accuse(q.Fingerprint, q.Losses, now.Add(min(q.Left, life))) || told
+			}
 		}
 	}
+	tick.Each(inbox, func(e Reported) { found = s.accuse(e.Fingerprint, e.Losses, now.Add(life)) || found })
+	tick.Each(inbox, func(e Probed) { learn(e.Gossip) })
+	tick.Each(inbox, func(e Acked) { learn(e.Gossip) })
+	tick.Each(inbox, func(e Pushed) { learn(e.Gossip) })
+	return found, told
 }
 
-func (w *World) accuse(f model.Fingerprint, losses int, left time.Duration) {
-	id, known := w.suspects.Find(f)
-	if known && w.suspect.Get(id).losses >= losses {
-		return
+func (s suspects) accuse(f model.Fingerprint, losses int, until time.Time) bool {
+	id, known := s.rows.Find(f)
+	if known && s.cell.Get(id).losses >= losses {
+		return false
 	}
 	if !known {
-		if w.suspects.Len() >= maxSuspects {
-			return
+		if s.rows.Len() >= maxSuspects {
+			return false
 		}
-		id, _ = w.suspects.Add(f)
+		id, _ = s.rows.Add(f)
 	}
-	w.suspect.Set(id, suspect{losses: losses, until: w.now.Add(left)})
-	w.dirty = true
-	w.rounds, w.nextAnnounce = announceRounds, w.now
+	s.cell.Set(id, suspect{losses: losses, until: until})
+	return true
 }
 
-// expire is the system that drops entries whose time is over.
-func (w *World) expire() {
-	for id := range w.suspects.All() {
-		if until := w.suspect.Get(id).until; w.now.Before(until) {
-			w.alarm.At(until)
+// expire drops entries whose time is over and reports whether there were any.
+func (s suspects) expire(now time.Time, alarm *tick.Alarm) bool {
+	dropped := false
+	for id := range s.rows.All() {
+		if until := s.cell.Get(id).until; now.Before(until) {
+			alarm.At(until)
 			continue
 		}
-		w.suspects.Remove(id)
-		w.dirty = true
+		s.rows.Remove(id)
+		dropped = true
 	}
+	return dropped
 }
 
 // entries picks the quarantine entries of a message: those sent least often, so
 // that all take turns while their time lasts.
-func (w *World) entries() []Quarantine {
-	if w.suspects.Len() == 0 {
+func (s suspects) entries(now time.Time) []Quarantine {
+	if s.rows.Len() == 0 {
 		return nil
 	}
-	ids := make([]table.ID, 0, w.suspects.Len())
-	for id := range w.suspects.All() {
+	ids := make([]table.ID, 0, s.rows.Len())
+	for id := range s.rows.All() {
 		ids = append(ids, id)
 	}
 	slices.SortFunc(ids, func(a, b table.ID) int {
-		return cmp.Or(cmp.Compare(w.suspect.Get(a).sent, w.suspect.Get(b).sent), cmp.Compare(b, a))
+		return cmp.Or(cmp.Compare(s.cell.Get(a).sent, s.cell.Get(b).sent), cmp.Compare(b, a))
 	})
 	var list []Quarantine
 	for _, id := range ids[:min(len(ids), maxEntries)] {
-		s := w.suspect.Get(id)
-		s.sent++
-		w.suspect.Set(id, s)
-		if left := s.until.Sub(w.now); left > 0 {
-			list = append(list, Quarantine{Fingerprint: w.suspects.Key(id), Losses: s.losses, Left: left})
+		c := s.cell.Get(id)
+		c.sent++
+		s.cell.Set(id, c)
+		if left := c.until.Sub(now); left > 0 {
+			list = append(list, Quarantine{Fingerprint: s.rows.Key(id), Losses: c.losses, Left: left})
 		}
 	}
 	return list
 }
 
+// all returns the suspects with their cells.
+func (s suspects) all() iter.Seq2[model.Fingerprint, suspect] {
+	return func(yield func(model.Fingerprint, suspect) bool) {
+		for id := range s.rows.All() {
+			if !yield(s.rows.Key(id), s.cell.Get(id)) {
+				return
+			}
+		}
+	}
+}
+
+// quarantine is the system that takes reports of lanes and entries of peers.
+func (w *World) quarantine() {
+	if found, told := w.suspects.hear(w.inbox, w.root.Quarantine, w.now); found || told {
+		w.dirty = true
+		w.rounds, w.nextAnnounce = announceRounds, w.now
+	}
+}
+
+// expire is the system that drops entries whose time is over.
+func (w *World) expire() {
+	if w.suspects.expire(w.now, &w.alarm) {
+		w.dirty = true
+	}
+}
+
 // quarantined returns the requests that are suspects and those refused.
 func (w *World) quarantined() (suspects, refused map[model.Fingerprint]bool) {
 	suspects, refused = map[model.Fingerprint]bool{}, map[model.Fingerprint]bool{}
-	for id := range w.suspects.All() {
-		if w.suspect.Get(id).losses >= quarantineLosses {
-			refused[w.suspects.Key(id)] = true
+	for f, s := range w.suspects.all() {
+		if s.losses >= quarantineLosses {
+			refused[f] = true
 		} else {
-			suspects[w.suspects.Key(id)] = true
+			suspects[f] = true
 		}
 	}
 	return suspects, refused
--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -25,6 +25,10 @@
 	unknownHosts = 64
 	// aloneAfter is when a host that found no peer believes that there is none.
 	aloneAfter = 5 * time.Second
+	// quarantineTime is how long a request that crashed searchers is remembered.
+	// Callers send such a request again within seconds, and a searcher is back
+	// some seconds after a crash; the product's own setting is ten minutes as well.
+	quarantineTime = 10 * time.Minute
 	// watchersPerDomain hosts of each failure domain follow the store by
 	// themselves, or all if there are at most allWatch.
 	watchersPerDomain = 2
@@ -74,6 +78,8 @@
 	alone   bool
 	place   feed.Placed
 
+	suspects suspects
+
 	rounds       int
 	nextAnnounce time.Time
 
@@ -90,12 +96,12 @@
 		Self: self, Member: member.NewWorld(self, incarnation), Feed: feed.NewWorld(),
 		Random:  rand.New(rand.NewPCG(incarnation, seed)),
 		view:    relay.View{HostCount: unknownHosts, Reason: "no configuration is known yet"},
-		members: table.New[model.HostID](),
+		members: table.New[model.HostID](), suspects: newSuspects(),
 	}
 	w.Feed.FailureDomain = self.FailureDomain
 	w.Feed.Random = rand.New(rand.NewPCG(seed, incarnation))
 	w.member = table.NewColumn[model.Member](w.members)
-	w.systems = []func(){w.receive, w.tickMember, w.assign, w.tickFeed, w.changeSelf, w.announce, w.publish}
+	w.systems = []func(){w.receive, w.tickMember, w.assign, w.tickFeed, w.changeSelf, w.quarantine, w.announce, w.publish}
 	return w
 }
 
@@ -250,7 +256,7 @@
 		age = d.Age.Milliseconds()
 	}
 	return Gossip{
-		Sender: w.Member.Self(), Hash: w.Member.Hash(), Changes: changes,
+		Sender: w.Member.Self(), Hash: w.Member.Hash(), Changes: changes, Quarantine: w.suspects.entries(w.now),
 		Digest: spread.Digest{
 			Revision: d.Version, Indexes: d.Fleet, Leaving: d.Hash,
 			PlatformAge: -1, SettingsAge: age, FleetAge: -1, Ready: w.view.Ready,
@@ -286,6 +292,24 @@
 	w.rounds, w.nextAnnounce = announceRounds, w.now
 }
 
+// quarantine is the system that keeps the requests that crash searchers, here
+// or at peers. Peers are told at once of those found here; probes carry them
+// further, because pushes by every host cost 450 messages for each entry in a
+// fleet of 76.
+func (w *Relay) quarantine() {
+	found, told := w.suspects.hear(w.inbox, quarantineTime, w.now)
+	if found {
+		w.rounds, w.nextAnnounce = announceRounds, w.now
+	}
+	if w.suspects.expire(w.now, &w.alarm) || found || told {
+		known := map[model.Fingerprint]relay.Suspect{}
+		for f, s := range w.suspects.all() {
+			known[f] = relay.Suspect{Losses: s.losses, At: s.until.Add(-quarantineTime)}
+		}
+		w.view, w.dirty = w.view.WithSuspects(known), true
+	}
+}
+
 // announce is the system that pushes what changed to a few peers at once.
 func (w *Relay) announce() {
 	if w.rounds == 0 {
--- /dev/null
+++ b/internal/ctrl/relay_test.go
@@ -0,0 +1,75 @@
+package ctrl_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanpulley.example/internal/ctrl"
+	"toucanpulley.example/internal/model"
+	"toucanpulley.example/internal/relay"
+)
+
+// relayNode drives the control state of one host that relays requests.
+type relayNode struct {
+	*ctrl.Relay
+	view relay.View
+	// pushed are the messages to peers that nobody has taken.
+	pushed []ctrl.PushTo
+}
+
+func newRelayNode(id string) *relayNode {
+	host := model.Host{ID: model.HostID(id), Peer: model.Address(id), Entry: model.Address(id), FailureDomain: "d1"}
+	return &relayNode{Relay: ctrl.NewRelay(host, 1)}
+}
+
+func (n *relayNode) tick(at time.Time, events ...ctrl.Event) {
+	for _, c := range n.Tick(at, events) {
+		switch c := c.(type) {
+		case ctrl.PublishRelay:
+			n.view = c.View
+		case ctrl.PushTo:
+			n.pushed = append(n.pushed, c)
+		}
+	}
+}
+
+// deliver hands the messages of one host to another.
+func (n *relayNode) deliver(at time.Time, to *relayNode) {
+	for _, p := range n.pushed {
+		to.tick(at, ctrl.Pushed{Gossip: p.Gossip})
+	}
+	n.pushed = nil
+}
+
+// Guards against a request that crashes searchers and is refused only by the
+// host that has noticed, and against a quarantine that begins anew with each
+// host that hears of it.
+func TestHostsTellEachOtherOfSuspects(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	a, b, c := newRelayNode("a"), newRelayNode("b"), newRelayNode("c")
+	for _, n := range []*relayNode{a, b, c} {
+		n.tick(at)
+	}
+	a.tick(at, ctrl.Pushed{Gossip: ctrl.Gossip{Sender: b.Member.Self()}}) // they know each other
+	b.tick(at, ctrl.Pushed{Gossip: ctrl.Gossip{Sender: a.Member.Self()}})
+	a.pushed = nil
+
+	a.tick(at, ctrl.Reported{Fingerprint: 7, Losses: 3})
+	is.Equal(a.view.Suspects[7], relay.Suspect{Losses: 3, At: at})
+	a.deliver(at, b)
+	is.Equal(b.view.Suspects[7], relay.Suspect{Losses: 3, At: at})
+
+	later := at.Add(5 * time.Second)
+	b.tick(later, ctrl.Reported{Fingerprint: 7, Losses: 2}) // older news
+	is.Equal(b.view.Suspects[7].Losses, 3)
+	b.pushed = nil
+	b.tick(later, ctrl.Pushed{Gossip: ctrl.Gossip{Sender: c.Member.Self()}}, ctrl.LeaveRequested{})
+	b.deliver(later, c)
+	is.Equal(c.view.Suspects[7], relay.Suspect{Losses: 3, At: at}) // the time of the loss, not of the message
+
+	b.tick(at.Add(11 * time.Minute))
+	is.Equal(len(b.view.Suspects), 0) // forgotten
+}
--- a/internal/ctrl/world.go
+++ b/internal/ctrl/world.go
@@ -55,8 +55,7 @@
 	leaving  bool
 	draining bool
 
-	suspects *table.Table[model.Fingerprint]
-	suspect  *table.Column[suspect]
+	suspects suspects
 
 	rounds       int
 	nextAnnounce time.Time
@@ -83,10 +82,9 @@
 		Random: rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(string(self.ID)))),
 		// A host runs no service before it holds a seat.
 		view: view.New().WithReady(false, "no settings are known yet").WithRoutes(nil, map[model.ServiceName]view.Ownership{}), root: tree.New().Effective(tree.Root),
-		members: table.New[model.HostID](), suspects: table.New[model.Fingerprint](), dirty: true,
+		members: table.New[model.HostID](), suspects: newSuspects(), dirty: true,
 	}
 	w.member = table.NewColumn[model.Member](w.members)
-	w.suspect = table.NewColumn[suspect](w.suspects)
 	w.systems = []func(){
 		w.receive, w.list, w.tickMember, w.tickSpread, w.tickRoute, w.drain, w.changeSelf,
 		w.quarantine, w.expire, w.announce, w.publish,
@@ -278,7 +276,7 @@
 func (w *World) gossip(changes []model.Member) Gossip {
 	return Gossip{
 		Sender: w.Member.Self(), Digest: w.Spread.Digest(w.now), Hash: w.Member.Hash(),
-		Changes: changes, Quarantine: w.entries(),
+		Changes: changes, Quarantine: w.suspects.entries(w.now),
 	}
 }
 
--- a/internal/daemon/lane.go
+++ b/internal/daemon/lane.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"toucanpulley.example/internal/ctrl"
 	"toucanpulley.example/internal/dial"
 	"toucanpulley.example/internal/meter"
 	"toucanpulley.example/internal/model"
@@ -27,7 +28,7 @@
 	pool   *dial.Pool
 	meter  *meter.Meter
 	log    hclog.Logger
-	report func(query.Report)
+	report func(ctrl.Reported)
 
 	calls   sync.WaitGroup
 	waiting *pending[model.RequestID, model.Answer]
@@ -38,7 +39,7 @@
 
 func newLane(world *query.World, pool *dial.Pool, m *meter.Meter, log hclog.Logger) *lane {
 	l := &lane{
-		pool: pool, meter: m, log: log, report: func(query.Report) {},
+		pool: pool, meter: m, log: log, report: func(ctrl.Reported) {},
 		waiting: newPending[model.RequestID, model.Answer](), cancels: map[callID]context.CancelFunc{},
 		asked: map[uint64]chan query.Status{},
 	}
@@ -81,7 +82,7 @@
 		l.told(c)
 	case query.Report:
 		l.log.Warn("searcher lost while it ran a request", "fingerprint", c.Fingerprint, "losses", c.Losses)
-		l.report(c)
+		l.report(ctrl.Reported(c))
 	}
 }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -17,7 +17,6 @@
 	"toucanpulley.example/internal/meter"
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/peer"
-	"toucanpulley.example/internal/query"
 	"toucanpulley.example/internal/spread"
 	"toucanpulley.example/internal/wire"
 )
@@ -67,7 +66,7 @@
 
 	// reports are on their way from lanes to control. A lane must never wait
 	// for control, which waits for lanes when it sends them a view.
-	reports chan query.Report
+	reports chan ctrl.Reported
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -82,7 +81,7 @@
 func newPeers(self model.HostID, m *meter.Meter, log hclog.Logger) *peers {
 	p := &peers{
 		pool: link.NewPool(), server: link.NewServer(), log: log, meter: m, self: self,
-		reports: make(chan query.Report, waitingReports), waiting: map[uint64]chan ctrl.Command{},
+		reports: make(chan ctrl.Reported, waitingReports), waiting: map[uint64]chan ctrl.Command{},
 		expected: map[model.Address][]model.HostID{},
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
@@ -114,7 +113,7 @@
 }
 
 // report hands a fact of a lane on without waiting.
-func (p *peers) report(r query.Report) {
+func (p *peers) report(r ctrl.Reported) {
 	select {
 	case p.reports <- r:
 	default:
@@ -126,7 +125,7 @@
 	for {
 		select {
 		case r := <-p.reports:
-			p.send(ctrl.Reported{Fingerprint: r.Fingerprint, Losses: r.Losses})
+			p.send(r)
 		case <-p.ctx.Done():
 			return
 		}
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -112,6 +112,7 @@
 	r.peers = newPeers(r.Self.ID, r.Meter, r.Log)
 	r.peers.send = r.control.Send
 	r.peers.server.Pull = r.answerPull
+	r.lane.report = r.peers.report
 }
 
 // announce makes this host known until it worked or was tried often enough.
--- a/internal/daemon/relaylane.go
+++ b/internal/daemon/relaylane.go
@@ -6,6 +6,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"toucanpulley.example/internal/conns"
+	"toucanpulley.example/internal/ctrl"
 	"toucanpulley.example/internal/meter"
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/relay"
@@ -18,11 +19,12 @@
 	pool    *conns.Pool
 	meter   *meter.Meter
 	log     hclog.Logger
+	report  func(ctrl.Reported)
 	waiting *pending[relay.Handle, relay.Answer]
 }
 
 func newRelayLane(world *relay.World, pool *conns.Pool, m *meter.Meter, log hclog.Logger) *relayLane {
-	l := &relayLane{pool: pool, meter: m, log: log, waiting: newPending[relay.Handle, relay.Answer]()}
+	l := &relayLane{pool: pool, meter: m, log: log, report: func(ctrl.Reported) {}, waiting: newPending[relay.Handle, relay.Answer]()}
 	l.loop = tick.NewLoop[relay.Event, relay.Command](world, l.execute)
 	return l
 }
@@ -57,6 +59,8 @@
 		l.waiting.settle(c.Handle, c.Answer)
 	case relay.Connect:
 		l.pool.Follow(c)
+	case relay.Report:
+		l.report(ctrl.Reported(c))
 	case relay.Count:
 		l.meter.Count(c.Group, c.Reason)
 	case relay.Observe:
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -39,6 +39,10 @@
 	if !ok {
 		return model.Route{}, model.NewRefusal(model.ReasonUnknownScope, "no route for host %q and path %q", r.Host, r.Path), false
 	}
+	if s := w.suspicion(r.Fingerprint); w.now.Before(s.refusedUntil()) {
+		return model.Route{}, model.NewRefusal(model.ReasonQuarantined,
+			"searchers were lost while they ran this request, %d times", s.Losses), false
+	}
 	if r.Patience < 0 {
 		return model.Route{}, model.NewRefusal(model.ReasonDeadlineExpired, "the deadline has passed"), false
 	}
@@ -47,10 +51,14 @@
 
 // refuse answers a request that was not started.
 func (w *World) refuse(r Request, refusal model.Refusal) {
+	after := startRetry
+	if refusal.Reason == model.ReasonQuarantined {
+		after = w.suspicion(r.Fingerprint).refusedUntil().Sub(w.now)
+	}
 	w.emit(Count{"refusal", string(refusal.Reason)})
 	w.note("request refused", "request", r.ID, "host", r.Host, "path", r.Path, "reason", refusal.Reason,
-		"version", w.view.Configuration.Version)
-	w.emit(Respond{Handle: r.Handle, Answer: refused(refusal).WithRetryAfter(startRetry)})
+		"detail", refusal.Detail, "version", w.view.Configuration.Version)
+	w.emit(Respond{Handle: r.Handle, Answer: refused(refusal).WithRetryAfter(after)})
 }
 
 // begin adds a request with its parts and sends their first calls.
@@ -77,6 +85,14 @@
 		w.part.Set(row, part{request: id, service: w.serviceRow(name)})
 		r = r.withPart(row)
 	}
+	if w.suspicion(ask.Fingerprint).Losses > 0 {
+		w.request.Set(id, r.withSuspicion())
+		for _, row := range r.parts {
+			w.hold(row)
+		}
+		w.ended = append(w.ended, id)
+		return
+	}
 	w.request.Set(id, r)
 	for _, row := range r.parts {
 		w.dispatch(row)
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -97,7 +97,7 @@
 	id, _ := w.calls.Add(w.lastCall)
 	w.call.Set(id, call{part: row, searcher: to, class: r.class, request: r.ask.ID, sent: w.now, hedge: hedge})
 	w.part.Set(row, p.withCall(id, to))
-	w.request.Set(p.request, r.withExposed(1))
+	w.request.Set(p.request, r.withCall())
 	s := w.searcher.Get(to).withCall(w.now)
 	w.searcher.Set(to, s)
 	if r.route.Idempotent && !hedge {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -17,6 +17,9 @@
 	Handle Handle
 	// ID is the caller's id of this attempt, for logs and for searchers.
 	ID model.RequestID
+	// Fingerprint is the same for each attempt of a request, at any host; zero if
+	// it is not known.
+	Fingerprint model.Fingerprint
 	// Host and Path select the route.
 	Host string
 	Path string
@@ -121,6 +124,13 @@
 	Most     int
 }
 
+// Report tells the other hosts how often a request was running when searchers
+// were lost: the number of waves of its calls that were all lost.
+type Report struct {
+	Fingerprint model.Fingerprint
+	Losses      int
+}
+
 // Count adds one to a counter of a group.
 type Count struct{ Group, Reason string }
 
@@ -142,6 +152,7 @@
 func (CancelCall) command() {}
 func (Respond) command()    {}
 func (Connect) command()    {}
+func (Report) command()     {}
 func (Count) command()      {}
 func (Observe) command()    {}
 func (Note) command()       {}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -30,7 +30,7 @@
 	}
 	best, busy, ok := w.choose(r, p)
 	switch {
-	case !ok && busy:
+	case r.doubted(), !ok && busy:
 		w.hedges.Add(w.now.Add(hedgeRetry), row)
 	case !ok:
 		w.emit(Count{"hedge", "noReplica"})
@@ -206,6 +206,6 @@
 		c := w.call.Get(id)
 		w.emit(Count{"call", "cancelled"})
 		w.emit(CancelCall{Call: w.calls.Key(id)})
-		w.endCall(id, c, w.now.Sub(c.sent), true)
+		w.endCall(id, c, w.now.Sub(c.sent), endDropped)
 	}
 }
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -190,7 +190,7 @@
 	o.sets[o.handles] = shards(o.version)
 	patience := time.Duration(rapid.IntRange(0, 900).Draw(t, "patience")) * time.Millisecond
 	o.tick(Arrived{Request: Request{
-		Handle: o.handles, ID: requestID(o.handles), Host: "h", Path: path, Arrived: o.at, Patience: patience,
+		Handle: o.handles, ID: requestID(o.handles), Fingerprint: model.Fingerprint(rapid.IntRange(0, 3).Draw(t, "fingerprint")), Host: "h", Path: path, Arrived: o.at, Patience: patience,
 	}})
 }
 
@@ -257,6 +257,27 @@
 	}
 }
 
+// loseAll ends all calls of a request, as a request does that crashes searchers.
+func (o *oracle) loseAll(t *rapid.T) {
+	first := o.some(t)
+	o.running[first.Call] = first
+	for _, call := range slices.Sorted(maps.Keys(o.running)) {
+		if c, ok := o.running[call]; ok && c.Request == first.Request {
+			delete(o.running, call)
+			o.tick(CallFailed{Call: call, Failure: model.FailureLost})
+		}
+	}
+}
+
+// hear has control name a suspect or none.
+func (o *oracle) hear(t *rapid.T) {
+	suspects := map[model.Fingerprint]Suspect{}
+	if n := rapid.IntRange(0, quarantineWaves).Draw(t, "losses"); n > 0 {
+		suspects[model.Fingerprint(rapid.IntRange(1, 3).Draw(t, "suspect"))] = Suspect{Losses: n, At: o.at}
+	}
+	o.tick(ViewChanged{View: o.view.WithSuspects(suspects)})
+}
+
 func (o *oracle) drain(t *rapid.T) {
 	name := rapid.SampledFrom(shards(o.version)).Draw(t, "service")
 	domain := rapid.SampledFrom([]string{"d1", "d2"}).Draw(t, "domain")
@@ -284,7 +305,7 @@
 		o := newOracle(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"arrive": o.arrive, "arrive more": o.arrive, "reply": o.reply, "reply more": o.reply,
-			"decline": o.decline, "lose": o.lose, "fail": o.fail, "repeat": o.repeat, "depart": o.depart,
+			"decline": o.decline, "lose": o.lose, "lose all": o.loseAll, "hear": o.hear, "fail": o.fail, "repeat": o.repeat, "depart": o.depart,
 			"drain": o.drain, "publish": func(*rapid.T) { o.publish() }, "pass": o.pass,
 			"": func(t *rapid.T) {
 				for h, path := range o.paths {
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -41,7 +41,7 @@
 // served takes a good reply for the part of a call.
 func (w *World) served(id table.ID, c call, r Reply) {
 	took := w.now.Sub(c.sent)
-	w.endCall(id, c, took, false)
+	w.endCall(id, c, took, endServed)
 	w.class.Get(c.class).latency.Add(took)
 	w.emit(Observe{"call", took})
 	p := w.part.Get(c.part)
@@ -67,13 +67,13 @@
 	} else {
 		w.searcher.Set(c.searcher, s.withShed())
 	}
-	w.endCall(id, c, w.now.Sub(c.sent), true)
+	w.endCall(id, c, w.now.Sub(c.sent), endDropped)
 	w.failPart(id, c, reason, model.MissingRefused, true)
 }
 
 // erred handles a failure that the searcher signed or a success without proof.
 func (w *World) erred(id table.ID, c call, r Reply) {
-	w.endCall(id, c, w.now.Sub(c.sent), true)
+	w.endCall(id, c, w.now.Sub(c.sent), endFailed)
 	p := w.part.Get(c.part)
 	if !w.parts.Has(c.part) || p.state != partOpen {
 		return
@@ -97,7 +97,11 @@
 			"notRun", e.NotRun, "elapsedMs", milliseconds(w.now.Sub(c.sent)), "cause", e.Cause)
 	}
 	w.emit(Count{"callFailed", e.Failure.String()})
-	w.endCall(id, c, w.now.Sub(c.sent), true)
+	end := endDropped
+	if e.Failure == model.FailureLost && !e.NotRun {
+		end = endLost
+	}
+	w.endCall(id, c, w.now.Sub(c.sent), end)
 	reason := model.RetryLost
 	if e.NotRun {
 		reason = model.RetryConnectFailed
@@ -106,8 +110,9 @@
 }
 
 // endCall removes a call, returns its connection and updates what is believed
-// of its searcher.
-func (w *World) endCall(id table.ID, c call, took time.Duration, failed bool) {
+// of its searcher and of its request.
+func (w *World) endCall(id table.ID, c call, took time.Duration, end ending) {
+	failed := end != endServed
 	s := w.searcher.Get(c.searcher)
 	ratio := float64(took) / float64(w.class.Get(c.class).usual())
 	if failed {
@@ -117,6 +122,16 @@
 	w.searcher.Set(c.searcher, s)
 	w.freed = append(w.freed, s.service)
 	w.calls.Remove(id)
+	if !w.parts.Has(c.part) {
+		return
+	}
+	requestID := w.part.Get(c.part).request
+	r := w.request.Get(requestID).withEndedCall(end == endLost)
+	w.request.Set(requestID, r)
+	if !r.proven && (end == endServed || end == endFailed) {
+		w.prove(requestID, r)
+	}
+	w.ended = append(w.ended, requestID)
 }
 
 // failPart records a failed call on its part and asks another searcher if the
@@ -137,6 +152,9 @@
 	case len(p.live) > 0: // another call for the part may still answer
 	case !r.route.Idempotent && p.runs > 0, p.runs >= r.route.Attempts, !w.now.Before(r.due):
 		w.settle(c.part, p.withMissing(missing))
+	case r.doubted():
+		w.part.Set(c.part, p.withAgain(again))
+		w.hold(c.part)
 	default:
 		w.part.Set(c.part, p.withAgain(again))
 		w.dispatch(c.part)
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -27,6 +27,14 @@
 	// exposed counts the calls that may have run.
 	exposed         int
 	hedges, retries int
+	// live counts the calls without an outcome, lost those of the present wave
+	// that were lost with their connections.
+	live, lost int
+	// held counts the parts that wait for a searcher to survive the request.
+	held int
+	// proven is set once a searcher survived the request, suspect if all calls of
+	// a wave were lost before.
+	proven, suspect bool
 	// denied counts the second calls that the retry budget did not allow yet.
 	denied int
 }
@@ -50,6 +58,46 @@
 	return r
 }
 
+func (r request) withCall() request {
+	r.live++
+	r.exposed++
+	return r
+}
+
+// withEndedCall returns the request after the end of a call.
+func (r request) withEndedCall(lost bool) request {
+	r.live--
+	if lost {
+		r.lost++
+	}
+	return r
+}
+
+// withWaveLost returns the request as a suspect whose next wave of calls begins.
+func (r request) withWaveLost() request {
+	r.lost, r.suspect = 0, true
+	return r
+}
+
+// withHeld returns the request with more or fewer parts that are held.
+func (r request) withHeld(n int) request {
+	r.held += n
+	return r
+}
+
+func (r request) withSuspicion() request {
+	r.suspect = true
+	return r
+}
+
+// doubted reports whether a second call could crash another searcher.
+func (r request) doubted() bool { return !r.proven && (r.lost > 0 || r.suspect) }
+
+func (r request) withProof() request {
+	r.proven = true
+	return r
+}
+
 func (r request) withHedge() request {
 	r.hedges++
 	return r
@@ -100,6 +148,8 @@
 	// runs counts the calls that may have run.
 	runs    int
 	waiting bool
+	// held is set while the part waits for a searcher to survive the request.
+	held bool
 	// again is why the part needs another call; empty before the first one fails.
 	again model.RetryReason
 }
@@ -139,6 +189,11 @@
 	return p
 }
 
+func (p part) withHeld(held bool) part {
+	p.held = held
+	return p
+}
+
 func (p part) withWaiting(waiting bool) part {
 	p.waiting = waiting
 	return p
@@ -155,6 +210,20 @@
 	hedge    bool
 }
 
+// ending is how a call ended.
+type ending uint8
+
+const (
+	// endServed is a good reply, endFailed another one of a searcher that ran the
+	// request.
+	endServed ending = iota
+	endFailed
+	// endLost is a connection that ended before the reply.
+	endLost
+	// endDropped is a call that did not run or that nobody waits for.
+	endDropped
+)
+
 // searcher is the cell of a searcher as this host sees it.
 type searcher struct {
 	registration model.Registration
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -19,6 +19,9 @@
 	Joined bool
 	// Carriers are the hosts that callers are sent to; see WithCarriers.
 	Carriers []model.Member
+	// Suspects holds the requests that were running when searchers were lost, here
+	// or at a peer.
+	Suspects map[model.Fingerprint]Suspect
 	// Ready is set if this host takes callers; Reason tells why not.
 	Ready  bool
 	Reason string
@@ -45,6 +48,12 @@
 	return v
 }
 
+// WithSuspects returns the view with other requests that may crash searchers.
+func (v View) WithSuspects(suspects map[model.Fingerprint]Suspect) View {
+	v.Suspects = suspects
+	return v
+}
+
 // WithReady returns the view of a host that takes callers or does not.
 func (v View) WithReady(ready bool, reason string) View {
 	v.Ready, v.Reason = ready, reason
@@ -57,6 +66,22 @@
 	return v
 }
 
+// Suspect is a request that was running when searchers were lost.
+type Suspect struct {
+	// Losses is the number of waves of its calls that were all lost.
+	Losses int
+	// At is when the last one was lost.
+	At time.Time
+}
+
+// refusedUntil returns the end of the time in which the request is refused.
+func (s Suspect) refusedUntil() time.Time {
+	if s.Losses < quarantineWaves {
+		return s.At
+	}
+	return s.At.Add(min(quarantineFirst<<min(s.Losses-quarantineWaves, 10), quarantineMost))
+}
+
 // Bounds are the limits within which the host works. They come from the
 // settings of the deployment.
 type Bounds struct {
--- a/internal/relay/world.go
+++ b/internal/relay/world.go
@@ -133,11 +133,17 @@
 	service   *table.Column[service]
 	classes   *table.Table[string]
 	class     *table.Column[class]
+	suspects  *table.Table[model.Fingerprint]
+	suspect   *table.Column[Suspect]
+	// cleared holds when a searcher survived a request that was a suspect.
+	cleared *policy.Recent[model.Fingerprint, time.Time]
 
 	// freed lists the services with a searcher that ended a call in this tick,
-	// settled the requests with a part that got an outcome.
+	// settled the requests with a part that got an outcome, ended those with a
+	// call that ended or with parts that are held.
 	freed   []table.ID
 	settled []table.ID
+	ended   []table.ID
 	hedges  *policy.Timers[table.ID]
 	ends    *policy.Timers[table.ID]
 	lingers *policy.Timers[table.ID]
@@ -152,6 +158,7 @@
 		view:     View{HostCount: 1},
 		requests: table.New[Handle](), parts: table.New[partKey](), calls: table.New[CallID](),
 		searchers: table.New[model.SearcherID](), services: table.New[model.ServiceName](), classes: table.New[string](),
+		suspects: table.New[model.Fingerprint](), cleared: policy.NewRecent[model.Fingerprint, time.Time](maxSuspects),
 		hedges: policy.NewTimers[table.ID](), ends: policy.NewTimers[table.ID](), lingers: policy.NewTimers[table.ID](),
 	}
 	w.request = table.NewColumn[request](w.requests)
@@ -160,7 +167,10 @@
 	w.searcher = table.NewColumn[searcher](w.searchers)
 	w.service = table.NewColumn[service](w.services)
 	w.class = table.NewColumn[class](w.classes)
-	w.systems = []func(){w.mature, w.follow, w.receive, w.depart, w.admit, w.wake, w.hedge, w.finish, w.expire, w.linger}
+	w.suspect = table.NewColumn[Suspect](w.suspects)
+	w.systems = []func(){
+		w.mature, w.follow, w.receive, w.depart, w.admit, w.wake, w.hedge, w.judge, w.finish, w.expire, w.linger, w.forget,
+	}
 	return w
 }
 
