Wake waiting parts when a cancelled call or a view frees a searcher

Cause, found by reading: parts that wait for a connection were looked at only after replies and failures of the same tick. A call that was cancelled ended after that system had run, and a view that brought a searcher, took one away or raised a limit woke nobody, so such a part waited until something else happened at its service, at worst until its deadline.

Two tests, both red before.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -21,6 +21,7 @@
 		w.followSearchers()
 		w.followBudgets()
 		w.connect()
+		w.freed = slices.AppendSeq(w.freed, w.services.All()) // other searchers, other limits
 		w.noteView(old)
 	})
 }
--- a/internal/relay/world.go
+++ b/internal/relay/world.go
@@ -169,7 +169,7 @@
 	w.class = table.NewColumn[class](w.classes)
 	w.suspect = table.NewColumn[Suspect](w.suspects)
 	w.systems = []func(){
-		w.mature, w.follow, w.receive, w.depart, w.admit, w.wake, w.hedge, w.judge, w.finish, w.expire, w.linger, w.forget,
+		w.mature, w.follow, w.receive, w.depart, w.linger, w.admit, w.wake, w.hedge, w.judge, w.finish, w.expire, w.forget,
 	}
 	return w
 }
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -158,3 +158,47 @@
 	id, _ := l.searchers.Find("shard-0/d1")
 	is.Equal(l.searcher.Get(id).connections.Most, 1)
 }
+
+// Guards against a part that waits for a connection which a cancelled call has
+// freed, and is not sent until something else happens.
+func TestCancelledCallWakesTheNextPart(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, func(v *View, _ *model.Route) { v.HostCount = 18 }) // one connection to each searcher
+	a, b := l.ask("/all/a"), l.ask("/all/b")
+	l.ask("/all/c") // waits
+	is.Equal(len(l.sent), 2)
+	l.tick(CallerGone{Handle: a}, CallerGone{Handle: b})
+	l.at = l.at.Add(lingerTime) // both calls are cancelled
+	l.tick()
+	is.Equal(len(l.cancelled), 2)
+	is.Equal(len(l.sent), 3)
+}
+
+// Guards against a part that waits for a busy searcher although a view brought
+// a free one, or took the busy one away.
+func TestViewWakesWaitingParts(t *testing.T) {
+	setup := func(t *testing.T) (*lane, model.Registration) {
+		t.Helper()
+		var spare model.Registration
+		l := newLane(1, func(v *View, _ *model.Route) {
+			v.HostCount = 18
+			spare = v.Fleet.Registrations[1]
+			v.Fleet.Registrations = v.Fleet.Registrations[:1]
+		})
+		l.ask("/all/a")
+		l.ask("/all/b") // waits
+		return l, spare
+	}
+	t.Run("searcher comes", func(t *testing.T) {
+		is := is.New(t)
+		l, spare := setup(t)
+		l.tick(ViewChanged{View: l.view.WithFleet(model.Fleet{Registrations: append(l.view.Fleet.Registrations, spare)})})
+		is.Equal(len(l.sent), 2)
+	})
+	t.Run("searcher goes", func(t *testing.T) {
+		is := is.New(t)
+		l, _ := setup(t)
+		l.tick(ViewChanged{View: l.view.WithFleet(model.Fleet{})})
+		is.Equal(l.answers[2].Kind, Refused) // at once, not at its deadline
+	})
+}
