Send waiting parts in order of rank, past those that cannot go

Cause, found by reading: parts that wait for a connection to a service stood in one line. The first one, if it had already asked the searcher that became free, kept all others from it and then went to the end of the line; the rank of a route was decoded and not used.

Two tests, both red before, and a property test of the queue.

--- a/internal/policy/waiting_test.go
+++ b/internal/policy/waiting_test.go
@@ -100,3 +100,38 @@
 		}
 	})
 }
+
+// Guards against a queue that loses, repeats or reorders items while some are
+// taken from its middle.
+func TestRankedKeepsOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type entry struct{ rank, n int }
+		q := NewRanked[entry]()
+		var model []entry
+		for n := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.IntRange(0, 3).Draw(t, "op") > 0 {
+				e := entry{rapid.IntRange(0, 2).Draw(t, "rank"), n}
+				q.Push(e.rank, e)
+				model = append(model, e)
+				slices.SortStableFunc(model, func(a, b entry) int { return a.rank - b.rank })
+				continue
+			}
+			most, divisor := rapid.IntRange(1, 10).Draw(t, "most"), rapid.IntRange(1, 3).Draw(t, "divisor")
+			var seen []entry
+			q.Sweep(func(e entry) (taken, more bool) {
+				seen = append(seen, e)
+				return e.n%divisor == 0, len(seen) < most
+			})
+			want := model[:min(most, len(model))]
+			if !slices.Equal(seen, want) {
+				t.Fatalf("offered %v, want %v", seen, want)
+			}
+			rest := slices.Clone(model[len(want):])
+			kept := slices.DeleteFunc(slices.Clone(want), func(e entry) bool { return e.n%divisor == 0 })
+			model = append(kept, rest...)
+		}
+		if q.Len() != len(model) {
+			t.Fatalf("%d items, want %d", q.Len(), len(model))
+		}
+	})
+}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -16,7 +16,7 @@
 	best, busy, ok := w.choose(r, p)
 	switch {
 	case !ok && busy:
-		w.service.Get(p.service).waiting.Push(row)
+		w.service.Get(p.service).waiting.Push(r.route.Rank, row)
 		w.part.Set(row, p.withWaiting(true))
 		w.emit(Count{"call", "waited"})
 	case !ok:
@@ -113,24 +113,42 @@
 	})
 }
 
-// wake is the system that sends parts that waited for a free connection.
+// wake is the system that sends parts that waited for a free connection. A part
+// that may use none of the free searchers does not hold up those behind it.
 func (w *World) wake() {
 	freed := w.freed
 	w.freed = w.freed[:0]
 	for _, row := range freed {
-		waiting := w.service.Get(row).waiting
-		for n := waiting.Len(); n > 0; n-- {
-			id, _ := waiting.Pop()
+		w.service.Get(row).waiting.Sweep(func(id table.ID) (taken, more bool) {
+			if w.crowded(row) {
+				return false, false
+			}
 			p := w.part.Get(id)
 			if !w.parts.Has(id) || p.state != partOpen || !p.waiting {
-				continue
+				return true, true
 			}
 			if _, busy, ok := w.choose(w.request.Get(p.request), p); !ok && busy {
-				waiting.Push(id)
-				break
+				return false, true
 			}
 			w.part.Set(id, p.withWaiting(false))
 			w.dispatch(id)
+			return true, true
+		})
+	}
+}
+
+// crowded reports whether a service has searchers and all of them are full.
+func (w *World) crowded(service table.ID) bool {
+	usable := false
+	for _, id := range w.service.Get(service).members {
+		s := w.searcher.Get(id)
+		if s.gone || s.connections.Most == 0 {
+			continue
+		}
+		if !s.full() {
+			return false
 		}
+		usable = true
 	}
+	return usable
 }
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -69,7 +69,7 @@
 	if fresh {
 		w.service.Set(id, service{
 			extras:  policy.NewAllowance(w.Bounds.RetryShare*budgetMargin, w.slack(), w.Bounds.RetryWindow, windowSteps),
-			waiting: policy.NewFifo[table.ID](),
+			waiting: policy.NewRanked[table.ID](),
 		})
 	}
 	return id
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -338,8 +338,9 @@
 type service struct {
 	members []table.ID
 	extras  *policy.Allowance
-	// waiting holds the parts that wait for a free connection.
-	waiting *policy.Fifo[table.ID]
+	// waiting holds the parts that wait for a free connection, the most urgent
+	// first.
+	waiting *policy.Ranked[table.ID]
 }
 
 func (s service) withMembers(members []table.ID) service {
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -202,3 +202,41 @@
 		is.Equal(l.answers[2].Kind, Refused) // at once, not at its deadline
 	})
 }
+
+// Guards against a part that keeps all others waiting because it may not use
+// the searcher that has become free.
+func TestPartThatCannotGoDoesNotHoldUpOthers(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, func(v *View, _ *model.Route) { v.HostCount = 18 })
+	l.wait(l.Bounds.RetryWindow)
+	l.ask("/all/a")
+	l.ask("/all/b") // both searchers are busy
+	a, b := l.sent[0], l.sent[1]
+	l.shed(a) // waits for the searcher of b, as it may not use its own again
+	l.ask("/all/c")
+	is.Equal(l.last().Request, model.RequestID("r-3")) // the searcher of a
+	l.ask("/all/d")
+	l.reply(l.last(), "0123456789abcdef") // frees the searcher of a
+	is.Equal(l.last().Request, model.RequestID("r-4"))
+	l.reply(b, "0123456789abcdef")
+	is.Equal(l.last().Request, model.RequestID("r-1"))
+}
+
+// Guards against a less urgent request that is served before an urgent one.
+func TestUrgentRouteGoesFirst(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, func(v *View, r *model.Route) {
+		v.HostCount, v.Fleet.Registrations = 18, v.Fleet.Registrations[:1]
+		r.Rank = 2
+	})
+	l.ask("/all/a")
+	l.ask("/all/b")
+	l.ask("/one/c") // rank 0
+	l.ask("/all/d")
+	l.reply(l.last(), "0123456789abcdef")
+	is.Equal(l.last().Request, model.RequestID("r-3"))
+	l.reply(l.last(), "0123456789abcdef")
+	is.Equal(l.last().Request, model.RequestID("r-2"))
+	l.reply(l.last(), "0123456789abcdef")
+	is.Equal(l.last().Request, model.RequestID("r-4"))
+}
