Leave suspects out of address answers

Ruled out: a shorter suspicion time, which would also move connection shares and retry budgets with each lost message; those still count suspects.

--- a/internal/policy/ranked.go
+++ b/internal/policy/ranked.go
@@ -32,10 +32,10 @@
 // Sweep offers the items in order until offer returns false for more, and
 // removes those that it takes. Offer must not change the queue.
 func (q *Ranked[T]) Sweep(offer func(T) (taken, more bool)) {
-	kept, more := q.items[:0], true
+	kept := q.items[:0]
 	for i, r := range q.items {
-		taken := false
-		if taken, more = offer(r.item); !taken {
+		taken, more := offer(r.item)
+		if !taken {
 			kept = append(kept, r)
 		}
 		if !more {
--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -203,12 +204,27 @@
 	weak := append([]model.Member{
 		host("w", "d1", 80), host("x", "d2", 80), host("a", "d1", 800), host("b", "d2", 800), host("c", "d2", 800),
 	}, host("z", "d3", 800))
+	suspect := func(hosts []model.Member, ids string) []model.Member {
+		list := slices.Clone(hosts)
+		for i, m := range list {
+			if strings.Contains(ids, string(m.Host.ID)) {
+				list[i].State = model.MemberSuspect
+			}
+		}
+		return list
+	}
 	for _, test := range []struct {
 		name   string
 		hosts  []model.Member
 		domain model.FailureDomain
 		want   string
 	}{
+		// A killed host is a suspect for seconds before it counts as failed.
+		{"a suspect", suspect(equal, "a"), "d2", "bc"},
+		{"a suspect of the own domain", suspect(equal, "a"), "d1", "bc"},
+		{"half are suspects", suspect(append(equal[:3:3], host("e", "d2", 400)), "ab"), "d1", "ce"},
+		// This host is more probably cut off than most others are gone.
+		{"most are suspects", suspect(equal, "ab"), "d1", "ab"},
 		{"own domain", equal, "d1", "ab"},
 		{"single host of its domain", equal, "d2", "abc"},
 		{"domain without searchers", equal, "d3", "abc"},
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -1,6 +1,10 @@
 package relay
 
-import "toucanpulley.example/internal/model"
+import (
+	"slices"
+
+	"toucanpulley.example/internal/model"
+)
 
 const (
 	// maxAddresses is the number of addresses of one answer; callers read no more.
@@ -38,10 +42,12 @@
 }
 
 // HostsFor returns the hosts that callers of a failure domain should use: those
-// of their own domain if there are at least two, else all carriers.
+// of their own domain if there are at least two, else all carriers. Suspects are
+// left out: a killed host is a suspect for seconds before it counts as failed,
+// and callers that are sent elsewhere by mistake lose nothing.
 func (v View) HostsFor(domain model.FailureDomain) []model.Host {
 	var own, all []model.Host
-	for _, m := range v.Carriers {
+	for _, m := range v.trusted() {
 		all = append(all, m.Host)
 		if m.Host.FailureDomain == domain {
 			own = append(own, m.Host)
@@ -53,6 +59,16 @@
 	return all[:min(len(all), maxAddresses)]
 }
 
+// trusted returns the carriers that are not suspects; all if most are, since
+// this host is then more probably cut off than they are gone.
+func (v View) trusted() []model.Member {
+	list := slices.DeleteFunc(slices.Clone(v.Carriers), func(m model.Member) bool { return m.State == model.MemberSuspect })
+	if 2*len(list) < len(v.Carriers) {
+		return v.Carriers
+	}
+	return list
+}
+
 // nearSearchers returns the hosts in the failure domains that have a searcher of
 // most services.
 func (v View) nearSearchers() []model.Member {
