Log what this host believes of other hosts

A line for each change of a known member now names host, state, former state and incarnation. Hosts that are new and well are left to the line with the counts.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -165,6 +165,22 @@
 	Suspended bool
 }
 
+// MemberChanged tells that this host believes something else of another one.
+type MemberChanged struct {
+	Member model.Member
+	// Former is what was believed before.
+	Former model.Member
+}
+
+// memberChanged returns the command for a change, and whether it is worth one:
+// hosts that are new and well are not.
+func memberChanged(former, m model.Member, self model.HostID) (MemberChanged, bool) {
+	known := former.Host.ID != ""
+	changed := former.State != m.State || former.Ready != m.Ready
+	return MemberChanged{Member: m, Former: former}, changed && known && m.Host.ID != self
+}
+
+func (MemberChanged) command() {}
 func (Publish) command()       {}
 func (Hold) command()          {}
 func (SendProbe) command()     {}
--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -218,6 +218,9 @@
 	w.dirty = true
 	for _, m := range c.Members {
 		id, _ := w.members.Add(m.Host.ID)
+		if c, ok := memberChanged(w.member.Get(id), m, w.Self.ID); ok {
+			w.emit(c)
+		}
 		w.member.Set(id, m)
 	}
 	for _, host := range c.Forgotten {
--- a/internal/ctrl/world.go
+++ b/internal/ctrl/world.go
@@ -220,6 +220,9 @@
 		id, _ := w.members.Add(m.Host.ID)
 		// Most changes are suspicions that are refuted. They change no address.
 		w.moved = w.moved || answered(w.member.Get(id)) != answered(m)
+		if c, ok := memberChanged(w.member.Get(id), m, w.Self.ID); ok {
+			w.emit(c)
+		}
 		w.member.Set(id, m)
 	}
 	w.routeMembers(c.Members, c.Forgotten)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -137,6 +137,10 @@
 	switch c := c.(type) {
 	case ctrl.Hold:
 		p.bundle.Store(&c.Bundle)
+	case ctrl.MemberChanged:
+		p.log.Info("member changed", "host", c.Member.Host.ID, "failureDomain", c.Member.Host.FailureDomain,
+			"state", c.Member.State.String(), "former", c.Former.State.String(), "ready", c.Member.Ready,
+			"incarnation", c.Member.Incarnation)
 	case ctrl.SendProbe:
 		p.calls.Go(func() { p.sendProbe(c) })
 	case ctrl.AnswerProbe:
