Probe a host at once when a push to it fails

Cause: on hosts-killed a killed host became a suspect 2.7 s after its death, when its turn in the round of probes came, although pushes to it had failed for two seconds.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -184,6 +184,8 @@
 	defer cancel()
 	if _, err := p.pool.Push(ctx, c.Peer.Peer, &peer.PushRequest{Gossip: wire.EncodeGossip(c.Gossip)}); err != nil {
 		p.meter.Count("peer", "pushFailed")
+		p.log.Debug("peer call failed", "step", "push to peer", "peer", c.Peer.Peer, "error", err)
+		p.send(ctrl.MemberEvent{Event: member.Doubted{Host: c.Peer.ID}})
 	}
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -51,6 +51,10 @@
 // ProbeFailed is a SendProbe that was not answered in time.
 type ProbeFailed struct{ ID uint64 }
 
+// Doubted tells that a call to a member failed that was no probe. The member is
+// probed at once.
+type Doubted struct{ Host model.HostID }
+
 // Joined is the full state of a peer, the answer to a FetchMembers.
 type Joined struct {
 	From    model.HostID
@@ -87,6 +91,7 @@
 func (Probed) event()      {}
 func (Acked) event()       {}
 func (ProbeFailed) event() {}
+func (Doubted) event()     {}
 func (Joined) event()      {}
 func (Told) event()        {}
 func (Fetched) event()     {}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -255,3 +255,36 @@
 	w.now = epoch.Add(20*time.Second + changeAge + time.Second)
 	is.Equal(len(w.changes("host-1")), 0)
 }
+
+// Guards against a killed host that is suspected only when its turn in the round
+// of probes comes, although calls to it fail, and against a probe for each
+// failed call.
+func TestFailedCallLeadsToAProbeAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := NewWorld(hostOf(0), 1)
+	var others []model.Member
+	for i := 1; i <= 10; i++ {
+		others = append(others, memberOf(i, 1, model.MemberAlive))
+	}
+	w.Tick(epoch, []Event{Joined{Members: others}})
+	at := epoch.Add(10 * time.Millisecond)
+	toFailed := func(out []Command) int {
+		n := 0
+		for _, p := range commands[SendProbe](out) {
+			if p.To.ID == "host-3" && p.Target == "" {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(toFailed(w.Tick(at, []Event{Doubted{Host: "host-3"}, Doubted{Host: "host-3"}, Doubted{Host: "host-99"}})), 1)
+	is.Equal(toFailed(w.Tick(at, []Event{Doubted{Host: "host-3"}})), 0) // one is out already
+	drive(w, at.Add(3*DefaultTimeout+time.Millisecond), func(p SendProbe) Event {
+		if p.To.ID == "host-3" || p.Target == "host-3" {
+			return nil
+		}
+		return Acked{ID: p.ID, From: memberOf(0, 1, model.MemberAlive)}
+	})
+	r, _ := w.find("host-3")
+	is.Equal(r.member.State, model.MemberSuspect)
+}
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -95,6 +95,25 @@
 	})
 }
 
+// doubt is the system that probes members to which a call failed.
+func (w *World) doubt() {
+	tick.Each(w.inbox, func(e Doubted) {
+		if r, ok := w.find(e.Host); ok && r.member.State == model.MemberAlive && !w.probing(e.Host) {
+			w.start(probe{target: r.member.Host}, r.member.Host, "")
+		}
+	})
+}
+
+// probing reports whether a probe of a member on this host's own behalf is out.
+func (w *World) probing(host model.HostID) bool {
+	for id := range w.probes.All() {
+		if p := w.probe.Get(id); p.target.ID == host && p.helps == 0 && !p.hint {
+			return true
+		}
+	}
+	return false
+}
+
 // overdue is the system that gives up on probes without any answer.
 func (w *World) overdue() {
 	var late []table.ID
--- a/internal/member/world.go
+++ b/internal/member/world.go
@@ -135,7 +135,7 @@
 	w.probe = table.NewColumn[probe](w.probes)
 	w.contact = table.NewColumn[model.Host](w.contacts)
 	w.systems = []func(){
-		w.watchPause, w.changeSelf, w.list, w.join, w.receive, w.answerFetches, w.acknowledge, w.fail,
+		w.watchPause, w.changeSelf, w.list, w.join, w.receive, w.answerFetches, w.acknowledge, w.fail, w.doubt,
 		w.overdue, w.expire, w.forget, w.send, w.reach, w.report,
 	}
 	return w
