Name the cause in the reason of a failed request

Cause: each request with too few parts was refused as noReplica, also when its calls were lost or the retry budget was used up, so that the counters sent operators to look for searchers that were there. Answers and statuses are unchanged.

--- a/internal/model/refusal.go
+++ b/internal/model/refusal.go
@@ -42,6 +42,10 @@
 	ReasonPlatformDown     Reason = "platformDown"
 	ReasonOutcomeUnknown   Reason = "outcomeUnknown"
 	ReasonTooLarge         Reason = "tooLarge"
+	// ReasonSearcherFailed is a request whose calls were lost, refused or failed.
+	ReasonSearcherFailed Reason = "searcherFailed"
+	// ReasonRetryBudget is a request that the retry budget allowed no further call.
+	ReasonRetryBudget Reason = "retryBudget"
 )
 
 // Refusal is why a request was refused and whether it ran. It is an error.
--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -287,3 +287,38 @@
 		})
 	}
 }
+
+// TestFailureNamesItsCause guards against a refusal that sends operators to look
+// for searchers that are all there.
+func TestFailureNamesItsCause(t *testing.T) {
+	all := func(_ *View, r *model.Route) { r.MinCoverage = 1 }
+	for _, test := range []struct {
+		name   string
+		change func(*View, *model.Route)
+		act    func(*lane)
+		want   model.Reason
+	}{
+		{"calls are lost", all, func(l *lane) { l.crash("/all/x", 1) }, model.ReasonSearcherFailed},
+		{"no searcher", func(v *View, _ *model.Route) { v.Fleet = model.Fleet{} }, func(l *lane) { l.ask("/all/x") }, model.ReasonNoReplica},
+		{"no budget", all, func(l *lane) {
+			l.ask("/all/x")
+			for i := 0; i < len(l.sent); i++ { // the process has no slack yet
+				l.shed(l.sent[i])
+			}
+		}, model.ReasonRetryBudget},
+		{"time runs out", all, func(l *lane) {
+			l.ask("/all/x")
+			l.wait(time.Second)
+		}, model.ReasonDeadlineExpired},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLane(1, test.change)
+			if test.want == model.ReasonSearcherFailed {
+				l.wait(l.Bounds.RetryWindow) // the process has its slack
+			}
+			test.act(l)
+			is.Equal(l.answers[1].Refusal.Reason, test.want)
+		})
+	}
+}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -105,12 +105,37 @@
 	return merge(replies, len(r.parts)-len(replies), r.route.Keep)
 }
 
-// failure returns the answer to a request that cannot be served.
-func (w *World) failure(r request) Answer {
-	reason := model.ReasonNoReplica
+// failureReasons holds the reason of a request for that of a part which has kept
+// it from an answer.
+var failureReasons = map[model.MissingReason]model.Reason{
+	model.MissingSuspect:     model.ReasonQuarantined,
+	model.MissingRetryBudget: model.ReasonRetryBudget,
+	model.MissingLost:        model.ReasonSearcherFailed,
+	model.MissingRefused:     model.ReasonSearcherFailed,
+	model.MissingNoReplica:   model.ReasonNoReplica,
+}
+
+// failureReason returns why most of the parts that are missing are.
+func (w *World) failureReason(r request) model.Reason {
 	if !w.now.Before(r.due) {
-		reason = model.ReasonDeadlineExpired
+		return model.ReasonDeadlineExpired
+	}
+	counts := map[model.Reason]int{}
+	best := model.ReasonNoReplica
+	for _, row := range r.parts {
+		p := w.part.Get(row)
+		if reason, ok := failureReasons[p.reason]; ok && p.state == partMissing {
+			if counts[reason]++; counts[reason] > counts[best] {
+				best = reason
+			}
+		}
 	}
+	return best
+}
+
+// failure returns the answer to a request that cannot be served.
+func (w *World) failure(r request) Answer {
+	reason := w.failureReason(r)
 	refusal := model.NewRefusal(reason, "%d of %d parts were answered, %d are required", r.got, len(r.parts), r.route.Required())
 	return refused(refusal.WithExecution(r.execution())).WithRetryAfter(emptyRetry)
 }
@@ -184,6 +209,7 @@
 		if p.state == partOpen {
 			reason = string(model.MissingCutOff)
 		}
+		w.emit(Count{"missing", reason})
 		text := string(w.services.Key(p.service)) + ":" + reason
 		for _, id := range p.tried {
 			text += "@" + string(w.searchers.Key(id))
