--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -134,6 +134,8 @@
 	Report func(relay.Event)
 	// Opened is told of each new connection; may be nil.
 	Opened func(model.SearcherID)
+	// Unsent is told of each call that was cancelled before it had a connection.
+	Unsent func(relay.StartCall)
 	// ConnectTimeout and IdleTime default to the constants.
 	ConnectTimeout time.Duration
 	IdleTime       time.Duration
@@ -152,7 +154,7 @@
 // NewPool returns a pool without connections.
 func NewPool(codec Codec) *Pool {
 	p := &Pool{
-		Report: func(relay.Event) {}, Opened: func(model.SearcherID) {},
+		Report: func(relay.Event) {}, Opened: func(model.SearcherID) {}, Unsent: func(relay.StartCall) {},
 		ConnectTimeout: DefaultConnectTimeout, IdleTime: DefaultIdleTime,
 		codec: codec, peers: map[model.SearcherID]*peer{}, active: map[relay.CallID]*transfer{},
 	}
@@ -271,6 +273,7 @@
 	delete(p.active, id)
 	if t.conn == nil {
 		t.peer.dropWaiting(t)
+		p.Unsent(t.call)
 		return
 	}
 	t.conn.shut()
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -225,3 +225,20 @@
 	p.Follow(connect(s, 1, 1))
 	is.Equal(idle(), 1)
 }
+
+// Guards against a call that was cancelled while it waited for a connection and
+// looks in the logs like one that a searcher did not answer.
+func TestCancelledCallWithoutConnectionIsTold(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s := newSearcher(t, func(line string) string { <-release; return line + " a\n" })
+	defer close(release)
+	p, _ := newTestPool(t, s, 0, 1)
+	var unsent []relay.CallID
+	p.Unsent = func(c relay.StartCall) { unsent = append(unsent, c.Call) }
+	startCall(p, 1)
+	<-s.accepted
+	startCall(p, 2) // the only connection is taken
+	p.Cancel(2)
+	is.Equal(unsent, []relay.CallID{2})
+}
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -101,6 +101,10 @@
 func (r *Relay) build() {
 	r.pool = conns.NewPool(r.Codec)
 	r.pool.Opened = func(model.SearcherID) { r.Meter.Count("connection", "opened") }
+	r.pool.Unsent = func(c relay.StartCall) {
+		r.Meter.Count("call", "unsent")
+		r.Log.Info("call was cancelled before it had a connection", "request", c.Request, "searcher", c.Searcher.ID)
+	}
 	world := relay.NewWorld(r.Self.ID, r.Self.FailureDomain)
 	world.Bounds = r.Bounds
 	r.lane = newRelayLane(world, r.pool, r.Meter, r.Log)
