--- a/internal/daemon/identity_test.go
+++ b/internal/daemon/identity_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"crypto/tls"
 	"testing"
 	"time"
@@ -84,8 +83,7 @@
 	stranger.settings.Host, stranger.settings.Seeds = "host-9", []model.Address{s.settings[0].Peer}
 	stranger.Store = plat.New() // it has a platform of its own
 	stranger.Certs = issue(t, newAuthority(t), s.authority, "host-9")
-	go func() { _ = stranger.Run(context.Background()) }()
-	<-stranger.Started()
+	begin(t, stranger)
 	defer func() { _ = stranger.Close() }()
 	for first := s.daemons[0]; first.Meter.Value("peer", "unauthenticated") == 0; {
 		time.Sleep(10 * time.Millisecond)
--- a/internal/daemon/peers_test.go
+++ b/internal/daemon/peers_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -19,6 +18,7 @@
 	"toucanpulley.example/internal/store"
 	"toucanpulley.example/internal/wire"
 	"toucanpulley.example/stand/plat"
+	"toucanpulley.example/stand/ports"
 )
 
 // site is a few daemons on loopback over a platform stand-in.
@@ -56,12 +56,11 @@
 }
 
 func (s *site) address() model.Address {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Address("127.0.0.1")
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return model.Address(l.Addr().String())
+	return model.Address(address)
 }
 
 func (s *site) put(name string, doc any, version uint64) {
@@ -85,13 +84,26 @@
 	if s.authority != nil {
 		d.Certs = issue(s.t, s.authority, s.authority, string(c.Host))
 	}
+	begin(s.t, d)
+	s.daemons = append(s.daemons, d)
+}
+
+// begin runs a daemon and waits until it has started. The test fails if the
+// daemon cannot run, as it never starts then.
+func begin(t *testing.T, d *Daemon) {
+	t.Helper()
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		if err := d.Run(context.Background()); err != nil {
-			s.t.Error(err)
+			t.Error(err)
 		}
 	}()
-	<-d.Started()
-	s.daemons = append(s.daemons, d)
+	select {
+	case <-d.Started():
+	case <-ended:
+		t.FailNow()
+	}
 }
 
 // eventually waits until a condition holds at every daemon.
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -14,6 +14,7 @@
 	"toucanpulley.example/internal/conf"
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/stand/plat"
+	"toucanpulley.example/stand/ports"
 )
 
 // Guards against certificate files of the settings that are not used, callers
@@ -34,16 +35,13 @@
 	for name, data := range map[string][]byte{files.Certificate: certificate, files.Key: key, files.CA: ca} {
 		is.NoErr(os.WriteFile(name, data, 0o600))
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Address("127.0.0.1")
 	is.NoErr(err)
-	address := l.Addr().String()
-	is.NoErr(l.Close())
 	s := conf.Settings{Host: "host-a", FailureDomain: "d", Region: "r", TLS: files}.
 		WithAddresses(model.Address(address), "127.0.0.1:0")
 	d := New(s)
 	d.Store = plat.New()
-	go func() { _ = d.Run(context.Background()) }()
-	<-d.Started()
+	begin(t, d)
 	conn, err := tls.Dial("tcp", address, &tls.Config{RootCAs: a.Roots()})
 	is.NoErr(err)
 	is.Equal(conn.ConnectionState().Version, uint16(tls.VersionTLS13))
--- a/internal/devel/process_test.go
+++ b/internal/devel/process_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,6 +23,7 @@
 	"toucanpulley.example/pkg/entry"
 	"toucanpulley.example/stand/corpus"
 	"toucanpulley.example/stand/plat"
+	"toucanpulley.example/stand/ports"
 )
 
 // entryVariable names the settings file if the test binary is to run as an
@@ -72,12 +72,11 @@
 
 func free(t *testing.T, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
+	address, err := ports.Address(ip)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // start runs the process and waits until it is ready.
