Share the keeping of other hosts between the two control worlds

ctrl.World and ctrl.Relay repeated the handling of probes, answers, pushes, changes of members and rounds of announcements in eight runs of code. Both now embed hosts, which holds that state. Behaviour is unchanged but for the order in which the random source is used.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -176,8 +176,9 @@
 // hosts that are new and well are not.
 func memberChanged(former, m model.Member, self model.HostID) (MemberChanged, bool) {
 	known := former.Host.ID != ""
+	forgotten := m.Host.ID == ""
 	changed := former.State != m.State || former.Ready != m.Ready
-	return MemberChanged{Member: m, Former: former}, changed && known && m.Host.ID != self
+	return MemberChanged{Member: m, Former: former}, changed && known && !forgotten && m.Host.ID != self
 }
 
 func (MemberChanged) command() {}
--- a/internal/ctrl/quarantine.go
+++ b/internal/ctrl/quarantine.go
@@ -127,7 +127,7 @@
 func (w *World) quarantine() {
 	if found, told := w.suspects.hear(w.inbox, w.root.Quarantine, w.now); found || told {
 		w.dirty = true
-		w.rounds, w.nextAnnounce = announceRounds, w.now
+		w.announceFrom(w.now)
 	}
 }
 
--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -13,7 +13,6 @@
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/relay"
 	"toucanpulley.example/internal/spread"
-	"toucanpulley.example/internal/table"
 	"toucanpulley.example/internal/tick"
 )
 
@@ -51,14 +50,10 @@
 // Relay is the control state of a daemon that relays requests by routes. It
 // composes the worlds of packages member and feed.
 type Relay struct {
-	// Self is the host that the daemon runs on.
-	Self model.Host
-	// Member and Feed are the worlds that it composes. Their fields may be set
-	// before the first tick.
-	Member *member.World
-	Feed   *feed.World
-	// Random chooses peers; set before the first tick to replay a run.
-	Random *rand.Rand
+	hosts
+	// Feed is the world that it composes besides the membership. Its fields may be
+	// set before the first tick.
+	Feed *feed.World
 	// Seed is set if peers find each other through this host. It follows the
 	// store before it knows its peers; others wait for theirs for a moment.
 	Seed bool
@@ -70,9 +65,6 @@
 	view  relay.View
 	dirty bool
 
-	members *table.Table[model.HostID]
-	member  *table.Column[model.Member]
-	self    member.SelfChanged
 	leaving bool
 	begun   time.Time
 	alone   bool
@@ -80,12 +72,8 @@
 
 	suspects suspects
 
-	rounds       int
-	nextAnnounce time.Time
-
-	forMember []member.Event
-	forFeed   []feed.Event
-	systems   []func()
+	forFeed []feed.Event
+	systems []func()
 }
 
 // NewRelay returns a world without beliefs. The incarnation must be higher than
@@ -93,14 +81,11 @@
 func NewRelay(self model.Host, incarnation uint64) *Relay {
 	seed := xxhash.Sum64String(string(self.ID))
 	w := &Relay{
-		Self: self, Member: member.NewWorld(self, incarnation), Feed: feed.NewWorld(),
-		Random:  rand.New(rand.NewPCG(incarnation, seed)),
-		view:    relay.View{HostCount: unknownHosts, Reason: "no configuration is known yet"},
-		members: table.New[model.HostID](), suspects: newSuspects(),
+		hosts: newHosts(self, incarnation), Feed: feed.NewWorld(), suspects: newSuspects(),
+		view: relay.View{HostCount: unknownHosts, Reason: "no configuration is known yet"},
 	}
 	w.Feed.FailureDomain = self.FailureDomain
 	w.Feed.Random = rand.New(rand.NewPCG(seed, incarnation))
-	w.member = table.NewColumn[model.Member](w.members)
 	w.systems = []func(){w.receive, w.tickMember, w.assign, w.tickFeed, w.changeSelf, w.quarantine, w.announce, w.publish}
 	return w
 }
@@ -128,22 +113,10 @@
 // receive is the system that hands the events of a tick to the worlds.
 func (w *Relay) receive() {
 	for _, e := range w.inbox {
+		if g, ok := w.take(e); ok {
+			w.hear(g)
+		}
 		switch e := e.(type) {
-		case Probed:
-			w.forMember = append(w.forMember, member.Probed{
-				ID: e.ID, From: e.Gossip.Sender, Target: e.Target, Hash: e.Gossip.Hash, Changes: e.Gossip.Changes,
-			})
-			w.hear(e.Gossip)
-		case Acked:
-			w.forMember = append(w.forMember, member.Acked{
-				ID: e.ID, From: e.Gossip.Sender, Reached: e.Reached, Hash: e.Gossip.Hash, Changes: e.Gossip.Changes,
-			})
-			w.hear(e.Gossip)
-		case Pushed:
-			w.forMember = append(w.forMember, member.Told{From: e.Gossip.Sender, Changes: e.Gossip.Changes})
-			w.hear(e.Gossip)
-		case MemberEvent:
-			w.forMember = append(w.forMember, e.Event)
 		case FeedEvent:
 			w.forFeed = append(w.forFeed, e.Event)
 		case LeaveRequested:
@@ -153,9 +126,6 @@
 }
 
 func (w *Relay) hear(g Gossip) {
-	if g.Sender.Host.ID == w.Self.ID {
-		return
-	}
 	d := feed.Digest{Version: g.Digest.Revision, Fleet: g.Digest.Indexes, Hash: g.Digest.Leaving, Age: feed.NeverCurrent}
 	if g.Digest.SettingsAge >= 0 {
 		d.Age = time.Duration(g.Digest.SettingsAge) * time.Millisecond
@@ -191,18 +161,11 @@
 
 // tickMember is the system that ticks the membership.
 func (w *Relay) tickMember() {
-	inbox := w.forMember
-	w.forMember = nil
-	for _, c := range w.Member.Tick(w.now, inbox) {
+	for _, c := range w.Member.Tick(w.now, w.taken()) {
+		if m, ok := w.message(c, w.gossip); ok {
+			w.emit(m)
+		}
 		switch c := c.(type) {
-		case member.SendProbe:
-			w.emit(SendProbe{ID: c.ID, To: c.To, Target: c.Target, Gossip: w.gossip(c.Changes)})
-		case member.AnswerProbe:
-			w.emit(AnswerProbe{ID: c.ID, Reached: c.Reached, Gossip: w.gossip(c.Changes)})
-		case member.FetchMembers:
-			w.emit(FetchMembers{From: c.From, Self: w.Member.Self()})
-		case member.AnswerMembers:
-			w.emit(AnswerMembers{ID: c.ID, Members: c.Members})
 		case member.Changed:
 			w.followMembers(c)
 		case member.Refuted:
@@ -216,18 +179,11 @@
 
 func (w *Relay) followMembers(c member.Changed) {
 	w.dirty = true
-	for _, m := range c.Members {
-		id, _ := w.members.Add(m.Host.ID)
-		if c, ok := memberChanged(w.member.Get(id), m, w.Self.ID); ok {
+	w.follow(c, func(former, m model.Member) {
+		if c, ok := memberChanged(former, m, w.Self.ID); ok {
 			w.emit(c)
 		}
-		w.member.Set(id, m)
-	}
-	for _, host := range c.Forgotten {
-		if id, ok := w.members.Find(host); ok {
-			w.members.Remove(id)
-		}
-	}
+	})
 }
 
 // tickFeed is the system that ticks the beliefs.
@@ -282,17 +238,9 @@
 	if ready != w.view.Ready || reason != w.view.Reason || w.leaving != w.view.Leaving {
 		w.view, w.dirty = w.view.WithReady(ready, reason).WithLeaving(w.leaving), true
 	}
-	next := member.SelfChanged{Ready: ready}
-	if w.leaving {
-		next.State = model.MemberLeaving
-	}
-	if next == w.self {
-		return
+	if w.hosts.changeSelf(ready, w.leaving, w.now) {
+		w.tickMember()
 	}
-	w.self = next
-	w.forMember = append(w.forMember, next)
-	w.tickMember()
-	w.rounds, w.nextAnnounce = announceRounds, w.now
 }
 
 // quarantine is the system that keeps the requests that crash searchers, here
@@ -302,7 +250,7 @@
 func (w *Relay) quarantine() {
 	found, told := w.suspects.hear(w.inbox, quarantineTime, w.now)
 	if found {
-		w.rounds, w.nextAnnounce = announceRounds, w.now
+		w.announceFrom(w.now)
 	}
 	if w.suspects.expire(w.now, &w.alarm) || found || told {
 		known := map[model.Fingerprint]relay.Suspect{}
@@ -315,18 +263,8 @@
 
 // announce is the system that pushes what changed to a few peers at once.
 func (w *Relay) announce() {
-	if w.rounds == 0 {
-		return
-	}
-	if w.now.Before(w.nextAnnounce) {
-		w.alarm.At(w.nextAnnounce)
-		return
-	}
-	w.pushTo(func(model.Member) bool { return true })
-	w.rounds--
-	if w.rounds > 0 {
-		w.nextAnnounce = w.now.Add(announceGap + time.Duration(w.Random.Int64N(int64(announceGap))))
-		w.alarm.At(w.nextAnnounce)
+	if w.announcing(w.now, &w.alarm) {
+		w.pushTo(anyMember)
 	}
 }
 
@@ -338,33 +276,11 @@
 
 // pushTo pushes what this host holds to a few of the peers that are chosen.
 func (w *Relay) pushTo(chosen func(model.Member) bool) {
-	for _, h := range somePeers(w.Random, w.members, w.member, relayFanout, func(m model.Member) bool {
-		return m.Host.ID != w.Self.ID && chosen(m)
-	}) {
+	for _, h := range w.some(relayFanout, chosen) {
 		w.emit(PushTo{Peer: h, Gossip: w.gossip(nil)})
 	}
 }
 
-// somePeers returns a few live members that are chosen, in random order.
-func somePeers(random *rand.Rand, members *table.Table[model.HostID], member *table.Column[model.Member],
-	most int, chosen func(model.Member) bool,
-) []model.Host {
-	var list []model.Host
-	for id := range members.All() {
-		if m := member.Get(id); live(m) && chosen(m) {
-			list = append(list, m.Host)
-		}
-	}
-	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), most)]
-}
-
-// live reports whether a member may answer. A suspect counts, as most suspicions
-// come from lost messages.
-func live(m model.Member) bool {
-	return m.State == model.MemberAlive || m.State == model.MemberSuspect
-}
-
 // publish is the system that builds a new view if anything changed.
 func (w *Relay) publish() {
 	alone := !w.Member.Joined() && !w.now.Before(w.begun.Add(aloneAfter))
--- a/internal/ctrl/world.go
+++ b/internal/ctrl/world.go
@@ -1,7 +1,6 @@
 package ctrl
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,30 +10,18 @@
 	"toucanpulley.example/internal/policy"
 	"toucanpulley.example/internal/route"
 	"toucanpulley.example/internal/spread"
-	"toucanpulley.example/internal/table"
 	"toucanpulley.example/internal/tick"
 	"toucanpulley.example/internal/tree"
 	"toucanpulley.example/internal/view"
 )
 
-const (
-	// announceRounds pushes of pushFanout peers each follow a change of this
-	// host's own state or of the quarantine, announceGap or a little more apart.
-	announceRounds = 2
-	announceGap    = 250 * time.Millisecond
-)
-
 // World is the control state of one daemon.
 type World struct {
-	// Self is the host that the daemon runs on.
-	Self model.Host
-	// Member and Spread are the worlds that it composes. Their fields may be
-	// set before the first tick.
-	Member *member.World
+	hosts
+	// Spread and Route are the worlds that it composes besides the membership.
+	// Their fields may be set before the first tick.
 	Spread *spread.World
 	Route  *route.World
-	// Random chooses peers; set before the first tick to replay a run.
-	Random *rand.Rand
 
 	now   time.Time
 	inbox []Event
@@ -45,10 +32,7 @@
 	// dirty is set if the view changed, and moved if the addresses may have.
 	dirty, moved bool
 
-	members *table.Table[model.HostID]
-	member  *table.Column[model.Member]
-	joined  bool
-	self    member.SelfChanged
+	joined bool
 
 	bundle   spread.Bundle
 	ready    spread.Ready
@@ -57,15 +41,10 @@
 
 	suspects suspects
 
-	rounds       int
-	nextAnnounce time.Time
-
 	// asked holds when a probe was sent, so that the age of its answer is known.
 	asked *policy.Recent[uint64, time.Time]
 
-	// forMember, forSpread and forRoute are the events of this tick for the
-	// worlds.
-	forMember []member.Event
+	// forSpread and forRoute are the events of this tick for the worlds.
 	forSpread []spread.Event
 	forRoute  []route.Event
 
@@ -76,15 +55,13 @@
 // than in the host's earlier lives; the start time in milliseconds is.
 func NewWorld(self model.Host, incarnation uint64) *World {
 	w := &World{
-		Self: self, Member: member.NewWorld(self, incarnation), Spread: spread.NewWorld(self),
-		Route:  route.NewWorld(self.ID, incarnation^xxhash.Sum64String(string(self.ID))),
-		asked:  policy.NewRecent[uint64, time.Time](askedProbes),
-		Random: rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(string(self.ID)))),
+		hosts: newHosts(self, incarnation), Spread: spread.NewWorld(self),
+		Route: route.NewWorld(self.ID, incarnation^xxhash.Sum64String(string(self.ID))),
+		asked: policy.NewRecent[uint64, time.Time](askedProbes),
 		// A host runs no service before it holds a seat.
 		view: view.New().WithReady(false, "no settings are known yet").WithRoutes(nil, map[model.ServiceName]view.Ownership{}), root: tree.New().Effective(tree.Root),
-		members: table.New[model.HostID](), suspects: newSuspects(), dirty: true,
+		suspects: newSuspects(), dirty: true,
 	}
-	w.member = table.NewColumn[model.Member](w.members)
 	w.systems = []func(){
 		w.receive, w.list, w.tickMember, w.tickSpread, w.tickRoute, w.drain, w.changeSelf,
 		w.quarantine, w.expire, w.announce, w.publish,
@@ -119,23 +96,15 @@
 // receive is the system that hands the events of a tick to the worlds.
 func (w *World) receive() {
 	for _, e := range w.inbox {
+		if g, ok := w.take(e); ok {
+			var asked time.Time
+			if a, ok := e.(Acked); ok {
+				asked, _ = w.asked.Get(a.ID)
+			}
+			w.heardOfPlatform(g, asked)
+			w.forSpread = append(w.forSpread, spread.RevisionSeen{From: g.Sender.Host.ID, Digest: g.Digest})
+		}
 		switch e := e.(type) {
-		case Probed:
-			w.forMember = append(w.forMember, member.Probed{
-				ID: e.ID, From: e.Gossip.Sender, Target: e.Target, Hash: e.Gossip.Hash, Changes: e.Gossip.Changes,
-			})
-			w.hear(e.Gossip, time.Time{})
-		case Acked:
-			w.forMember = append(w.forMember, member.Acked{
-				ID: e.ID, From: e.Gossip.Sender, Reached: e.Reached, Hash: e.Gossip.Hash, Changes: e.Gossip.Changes,
-			})
-			asked, _ := w.asked.Get(e.ID)
-			w.hear(e.Gossip, asked)
-		case Pushed:
-			w.forMember = append(w.forMember, member.Told{From: e.Gossip.Sender, Changes: e.Gossip.Changes})
-			w.hear(e.Gossip, time.Time{})
-		case MemberEvent:
-			w.forMember = append(w.forMember, e.Event)
 		case SpreadEvent:
 			w.forSpread = append(w.forSpread, e.Event)
 		case RouteEvent:
@@ -147,13 +116,6 @@
 	}
 }
 
-func (w *World) hear(g Gossip, asked time.Time) {
-	if g.Sender.Host.ID != w.Self.ID {
-		w.heardOfPlatform(g, asked)
-		w.forSpread = append(w.forSpread, spread.RevisionSeen{From: g.Sender.Host.ID, Digest: g.Digest})
-	}
-}
-
 // list is the system that takes the platform's host list.
 func (w *World) list() {
 	tick.Each(w.inbox, func(e HostsSeen) {
@@ -190,19 +152,13 @@
 
 // tickMember is the system that ticks the membership.
 func (w *World) tickMember() {
-	inbox := w.forMember
-	w.forMember = nil
-	for _, c := range w.Member.Tick(w.now, inbox) {
+	for _, c := range w.Member.Tick(w.now, w.taken()) {
+		if m, ok := w.message(c, w.gossip); ok {
+			w.emit(m)
+		}
 		switch c := c.(type) {
 		case member.SendProbe:
 			w.asked.Put(c.ID, w.now)
-			w.emit(SendProbe{ID: c.ID, To: c.To, Target: c.Target, Gossip: w.gossip(c.Changes)})
-		case member.AnswerProbe:
-			w.emit(AnswerProbe{ID: c.ID, Reached: c.Reached, Gossip: w.gossip(c.Changes)})
-		case member.FetchMembers:
-			w.emit(FetchMembers{From: c.From, Self: w.Member.Self()})
-		case member.AnswerMembers:
-			w.emit(AnswerMembers{ID: c.ID, Members: c.Members})
 		case member.Changed:
 			w.followMembers(c)
 		case member.Refuted:
@@ -216,22 +172,14 @@
 }
 
 func (w *World) followMembers(c member.Changed) {
-	for _, m := range c.Members {
-		id, _ := w.members.Add(m.Host.ID)
+	w.follow(c, func(former, m model.Member) {
 		// Most changes are suspicions that are refuted. They change no address.
-		w.moved = w.moved || answered(w.member.Get(id)) != answered(m)
-		if c, ok := memberChanged(w.member.Get(id), m, w.Self.ID); ok {
+		w.moved = w.moved || answered(former) != answered(m)
+		if c, ok := memberChanged(former, m, w.Self.ID); ok {
 			w.emit(c)
 		}
-		w.member.Set(id, m)
-	}
+	})
 	w.routeMembers(c.Members, c.Forgotten)
-	for _, host := range c.Forgotten {
-		if id, ok := w.members.Find(host); ok {
-			w.moved = w.moved || answered(w.member.Get(id)).Host != ""
-			w.members.Remove(id)
-		}
-	}
 	w.forSpread = append(w.forSpread, spread.MembersChanged{
 		Members: c.Members, Forgotten: c.Forgotten, Joined: w.Member.Joined(),
 	})
@@ -292,36 +240,18 @@
 
 // changeSelf is the system that tells peers of this host's own state.
 func (w *World) changeSelf() {
-	next := member.SelfChanged{Ready: w.ready.Ready && !w.leaving}
-	if w.leaving {
-		next.State = model.MemberLeaving
+	if w.hosts.changeSelf(w.ready.Ready && !w.leaving, w.leaving, w.now) {
+		w.tickMember()
 	}
-	if next == w.self {
-		return
-	}
-	w.self = next
-	w.forMember = append(w.forMember, next)
-	w.tickMember()
-	w.rounds, w.nextAnnounce = announceRounds, w.now
 }
 
 // announce is the system that pushes this host's state and quarantine entries
 // to a few peers at once.
 func (w *World) announce() {
-	if w.rounds == 0 {
-		return
-	}
-	if w.now.Before(w.nextAnnounce) {
-		w.alarm.At(w.nextAnnounce)
+	if !w.announcing(w.now, &w.alarm) {
 		return
 	}
-	others := func(m model.Member) bool { return m.Host.ID != w.Self.ID }
-	for _, h := range somePeers(w.Random, w.members, w.member, w.root.PushFanout, others) {
+	for _, h := range w.some(w.root.PushFanout, anyMember) {
 		w.emit(PushTo{Peer: h, Gossip: w.gossip(nil)})
 	}
-	w.rounds--
-	w.nextAnnounce = w.now.Add(announceGap + time.Duration(w.Random.Int64N(int64(announceGap))))
-	if w.rounds > 0 {
-		w.alarm.At(w.nextAnnounce)
-	}
 }
