--- a/internal/claim/harness_test.go
+++ b/internal/claim/harness_test.go
@@ -1,7 +1,6 @@
 package claim
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -11,24 +10,12 @@
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/tree"
 	"toucanpulley.example/internal/view"
+	"toucanpulley.example/stand/fuzz"
 )
 
-var long = flag.Bool("long", false, "run the fuzz tests with many checks and a random seed")
-
+// TestMain fixes the seed of the property tests unless a flag names another.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	settings := map[string]string{"rapid.seed": "20261204", "rapid.checks": "300", "rapid.nofailfile": "true"}
-	if *long {
-		settings["rapid.seed"], settings["rapid.checks"] = "0", "30000"
-	}
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range settings {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
+	os.Exit(fuzz.Main(m, fuzz.Preset{Seed: "20261204", Checks: "300", Long: "30000"}))
 }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/feed/fleet_test.go
+++ b/internal/feed/fleet_test.go
@@ -1,10 +1,8 @@
 package feed
 
 import (
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -15,19 +13,6 @@
 	"toucanpulley.example/internal/model"
 )
 
-// TestMain fixes the seed of the property tests unless a flag names another.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		if err := flag.Set("rapid.seed", "20260101"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
-
 // pulls returns the pulls that were asked for, and forgets all commands but the
 // last belief.
 func (h *host) pulls() []PullFrom {
--- /dev/null
+++ b/internal/feed/main_test.go
@@ -0,0 +1,11 @@
+package feed
+
+import (
+	"os"
+	"testing"
+
+	"toucanpulley.example/stand/fuzz"
+)
+
+// TestMain fixes the seed of the property tests unless a flag names another.
+func TestMain(m *testing.M) { os.Exit(fuzz.Main(m, fuzz.Preset{Seed: "20260101"})) }
--- a/internal/query/main_test.go
+++ b/internal/query/main_test.go
@@ -1,33 +1,11 @@
 package query
 
 import (
-	"flag"
 	"os"
 	"testing"
-)
-
-// long runs the fuzz tests with random seeds and many more cases.
-var long = flag.Bool("long", false, "run the fuzz tests for many cases with random seeds")
 
-// fuzzSeed and fuzzChecks make the fuzz tests of CI repeatable.
-const (
-	fuzzSeed   = "20260101"
-	fuzzChecks = "400"
-	longChecks = "20000"
+	"toucanpulley.example/stand/fuzz"
 )
 
-// TestMain sets the seed and number of cases unless flags name others.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	preset := map[string]string{"rapid.checks": longChecks}
-	if !*long {
-		preset = map[string]string{"rapid.checks": fuzzChecks, "rapid.seed": fuzzSeed, "rapid.nofailfile": "true"}
-	}
-	flag.Visit(func(f *flag.Flag) { delete(preset, f.Name) })
-	for name, value := range preset {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests unless a flag names another.
+func TestMain(m *testing.M) { os.Exit(fuzz.Main(m, fuzz.Preset{Seed: "20260101", Checks: "400"})) }
--- a/internal/relay/main_test.go
+++ b/internal/relay/main_test.go
@@ -1,20 +1,11 @@
 package relay
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"toucanpulley.example/stand/fuzz"
 )
 
 // TestMain fixes the seed of the property tests unless a flag names another.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		if err := flag.Set("rapid.seed", "20260101"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fuzz.Main(m, fuzz.Preset{Seed: "20260101"})) }
