--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -134,7 +134,8 @@
 	Report func(relay.Event)
 	// Opened is told of each new connection; may be nil.
 	Opened func(model.SearcherID)
-	// Unsent is told of each call that was cancelled before it had a connection.
+	// Unsent is told of each call that was cancelled before it had a connection. It
+	// must not block or call the pool.
 	Unsent func(relay.StartCall)
 	// ConnectTimeout and IdleTime default to the constants.
 	ConnectTimeout time.Duration
