Keep refused changes of the settings model in the order of their ids

The model kept refused changes in the order of refusal, so that each order of concurrent refusals was a state of its own and none was recognised again. What is allowed is unchanged; the states are now compared as sets.

Ruled out: a wrong history (the verdict was Unknown, not Illegal).

The history that failed was not kept, so that this was its cause is likely, not shown.

--- a/internal/devel/changes_test.go
+++ b/internal/devel/changes_test.go
@@ -62,10 +62,47 @@
 		return valid, log{append(slices.Clone(l.accepted), c), l.refused}
 	default:
 		valid := !accepted && (!o.conflict || l.conflicts(c))
-		return valid, log{l.accepted, append(slices.Clone(l.refused), c.id)}
+		return valid, log{l.accepted, l.withRefused(c.id)}
 	}
 }
 
+// withRefused returns the refused changes with another one, in the order of
+// their ids: in whatever order changes are refused, the state is the same. The
+// checker would otherwise try all orders of concurrent refusals.
+func (l log) withRefused(id string) []string {
+	at, _ := slices.BinarySearch(l.refused, id)
+	return slices.Insert(slices.Clone(l.refused), at, id)
+}
+
+// settingsModel is the sequential behaviour of the settings.
+func settingsModel() porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return log{accepted: []change{{id: "initial"}}} },
+		Step: step,
+		Equal: func(a, b any) bool {
+			return slices.Equal(a.(log).accepted, b.(log).accepted) && slices.Equal(a.(log).refused, b.(log).refused)
+		},
+	}
+}
+
+// Guards against a check of linearizability that does not end within its minute,
+// as one did once in CI, because it tries all orders of concurrent refusals.
+func TestCheckerDecidesConcurrentRefusals(t *testing.T) {
+	is := is.New(t)
+	var list []porcupine.Operation
+	for i := range 12 {
+		list = append(list, porcupine.Operation{
+			ClientId: i, Input: change{id: fmt.Sprint("refused-", i), path: "/a", base: 1}, Call: 0, Return: 100,
+			Output: outcome{state: entry.ChangeState_CHANGE_STATE_NOT_ACCEPTED},
+		})
+	}
+	wrong := porcupine.Operation{
+		ClientId: 30, Input: change{id: "late", path: "/a", base: 1}, Call: 200, Return: 300,
+		Output: outcome{state: entry.ChangeState_CHANGE_STATE_ACCEPTED, revision: 7}, // would be the second revision
+	}
+	is.Equal(porcupine.CheckOperationsTimeout(settingsModel(), append(list, wrong), time.Minute), porcupine.Illegal)
+}
+
 // recorder collects the operations of several clients.
 type recorder struct {
 	mu    sync.Mutex
@@ -240,15 +277,8 @@
 	faults.Wait()
 	t.Log(record.count)
 	is.True(record.count[entry.ChangeState_CHANGE_STATE_ACCEPTED.String()] > 0)
-	model := porcupine.Model{
-		Init: func() any { return log{accepted: []change{{id: "initial"}}} },
-		Step: step,
-		Equal: func(a, b any) bool {
-			return slices.Equal(a.(log).accepted, b.(log).accepted) && slices.Equal(a.(log).refused, b.(log).refused)
-		},
-	}
 	operations := record.operations(checkReplay(t, s))
-	is.Equal(porcupine.CheckOperationsTimeout(model, operations, time.Minute), porcupine.Ok)
+	is.Equal(porcupine.CheckOperationsTimeout(settingsModel(), operations, time.Minute), porcupine.Ok)
 }
 
 // checkReplay compares the tree on the platform with its history, and returns
