relay: count a reply that ends early as a lost call

Callers saw a request that crashes searchers sent on without end when the searchers broke off in the middle of their replies.

Cause: the pool reports such a call as truncated, and only lost calls counted as evidence that a request crashes searchers. Change: a truncated reply to a call that may have run counts as a lost call.

--- /dev/null
+++ b/internal/ctrl/crash_test.go
@@ -0,0 +1,328 @@
+package ctrl_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanpulley.example/internal/ctrl"
+	"toucanpulley.example/internal/feed"
+	"toucanpulley.example/internal/member"
+	"toucanpulley.example/internal/model"
+	"toucanpulley.example/internal/relay"
+)
+
+const (
+	peerDelay = 5 * time.Millisecond
+	workTime  = 20 * time.Millisecond
+	// stableWindow and maxLateRetries are the bound on a request that crashes
+	// searchers: at most so many retries reach searchers later than stableWindow
+	// after the third of them has ended.
+	stableWindow   = 4 * time.Second
+	maxLateRetries = 3
+)
+
+// relayFleet runs the control world and the lane of several hosts on a simulated
+// clock.
+type relayFleet struct {
+	now    time.Time
+	queue  eventQueue
+	seq    int
+	random *rand.Rand
+	hosts  []*relayHost
+	byHost map[model.HostID]*relayHost
+	seeds  []model.Address
+
+	configuration model.Configuration
+	registrations []model.Registration
+	// outcome returns the event that ends a call, or nil for a call that gets no
+	// reply.
+	outcome func(relay.StartCall) relay.Event
+	// called holds the times of the calls of each request.
+	called map[model.RequestID][]time.Time
+	ended  []time.Time
+	// partitioned hosts receive no messages of peers.
+	partitioned bool
+}
+
+// relayHost is one process of a host.
+type relayHost struct {
+	fleet     *relayFleet
+	host      model.Host
+	control   *ctrl.Relay
+	lane      *relay.World
+	cancelled map[relay.CallID]bool
+	answers   map[uint64]func(ctrl.Command)
+	lastID    uint64
+	handle    relay.Handle
+}
+
+func newRelayFleet(hosts int, route model.Route, budget relay.RetryBudget) *relayFleet {
+	f := &relayFleet{
+		now: epoch, random: rand.New(rand.NewPCG(1, 2)), byHost: map[model.HostID]*relayHost{},
+		called: map[model.RequestID][]time.Time{},
+	}
+	route.Name, route.Host, route.Prefix = "r", "h", "/"
+	services := map[model.ServiceName]bool{}
+	for _, s := range route.Shards {
+		services[s] = true
+	}
+	for _, s := range route.Shares {
+		services[s.Service] = true
+	}
+	var settings []model.Service
+	for name := range services {
+		settings = append(settings, model.Service{Name: name, ConnectionCap: 1000})
+		for i := range 4 {
+			id := fmt.Sprint(name, "/", i)
+			f.registrations = append(f.registrations, model.Registration{
+				Service: name, StartMillis: 1, Revision: 1,
+				Searcher: model.Searcher{ID: model.SearcherID(id), Address: model.Address(id), FailureDomain: "d1", Slots: 2},
+			})
+		}
+	}
+	f.configuration = model.NewConfiguration(1, []model.Route{route}, settings, model.Limits{})
+	for i := range hosts {
+		id := fmt.Sprintf("host-%03d", i)
+		h := model.Host{ID: model.HostID(id), Peer: model.Address(id), Entry: model.Address(id), FailureDomain: "d1", Capacity: 400}
+		if i < 3 {
+			f.seeds = append(f.seeds, h.Peer)
+		}
+		f.start(h, budget)
+	}
+	f.run(30 * time.Second)
+	return f
+}
+
+func (f *relayFleet) start(host model.Host, budget relay.RetryBudget) {
+	h := &relayHost{
+		fleet: f, host: host, control: ctrl.NewRelay(host, uint64(f.now.UnixMilli())), lane: relay.NewWorld(host.ID, host.FailureDomain),
+		cancelled: map[relay.CallID]bool{}, answers: map[uint64]func(ctrl.Command){},
+	}
+	h.lane.RetryBudget = budget
+	h.control.Member.Seeds, h.control.Seed = f.seeds, true
+	f.hosts = append(f.hosts, h)
+	f.byHost[host.ID] = h
+	f.after(0, func() { h.tick(ctrl.FeedEvent{}) })
+}
+
+func (f *relayFleet) after(d time.Duration, run func()) {
+	f.seq++
+	heap.Push(&f.queue, timedEvent{at: f.now.Add(d), seq: f.seq, run: run})
+}
+
+// run advances the clock and runs the events that are due.
+func (f *relayFleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(timedEvent)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+// tick runs the control world and delivers its messages.
+func (h *relayHost) tick(events ...ctrl.Event) {
+	f := h.fleet
+	for _, c := range h.control.Tick(f.now, events) {
+		switch c := c.(type) {
+		case ctrl.PublishRelay:
+			h.tickLane(relay.ViewChanged{View: c.View})
+		case ctrl.PushTo:
+			h.sendTo(c.Peer.ID, func(to *relayHost) { to.tick(ctrl.Pushed{Gossip: c.Gossip}) })
+		case ctrl.SendProbe:
+			h.sendTo(c.To.ID, func(to *relayHost) {
+				id := to.expect(func(a ctrl.Command) {
+					if p, ok := a.(ctrl.AnswerProbe); ok {
+						to.sendTo(h.host.ID, func(*relayHost) { h.tick(ctrl.Acked{ID: c.ID, Reached: p.Reached, Gossip: p.Gossip}) })
+					}
+				})
+				to.tick(ctrl.Probed{ID: id, Target: c.Target, Gossip: c.Gossip})
+			})
+		case ctrl.FetchMembers:
+			h.sendTo(model.HostID(c.From.Peer), func(to *relayHost) {
+				id := to.expect(func(a ctrl.Command) {
+					if m, ok := a.(ctrl.AnswerMembers); ok {
+						to.sendTo(h.host.ID, func(*relayHost) {
+							h.tick(ctrl.MemberEvent{Event: member.MembersReceived{From: to.host.ID, Members: m.Members}})
+						})
+					}
+				})
+				to.tick(ctrl.MemberEvent{Event: member.MembersRequested{ID: id, From: c.Self}})
+			})
+		case ctrl.AnswerProbe:
+			h.answer(c.ID, c)
+		case ctrl.AnswerMembers:
+			h.answer(c.ID, c)
+		case ctrl.FeedCommand:
+			h.readStore(c.Command)
+		}
+	}
+	if next := h.control.Next(); !next.IsZero() {
+		f.after(max(next.Sub(f.now), time.Millisecond), func() {
+			if due := h.control.Next(); !due.IsZero() && !f.now.Before(due) {
+				h.tick()
+			}
+		})
+	}
+}
+
+// expect returns an id for a question to this host and registers the receiver of
+// its answer.
+func (h *relayHost) expect(receive func(ctrl.Command)) uint64 {
+	h.lastID++
+	h.answers[h.lastID] = receive
+	return h.lastID
+}
+
+func (h *relayHost) answer(id uint64, c ctrl.Command) {
+	if receive, ok := h.answers[id]; ok {
+		delete(h.answers, id)
+		receive(c)
+	}
+}
+
+func (h *relayHost) sendTo(id model.HostID, deliver func(*relayHost)) {
+	to, ok := h.fleet.byHost[id]
+	if !ok {
+		return
+	}
+	h.fleet.after(peerDelay, func() {
+		if !h.fleet.partitioned {
+			deliver(to)
+		}
+	})
+}
+
+// readStore answers reads of the store; its watches report no changes.
+func (h *relayHost) readStore(c feed.Command) {
+	r, ok := c.(feed.Read)
+	if !ok {
+		return
+	}
+	var e feed.Event = feed.HostsRead{}
+	switch r.Topic {
+	case feed.Configuration:
+		e = feed.ConfigurationRead{Configuration: h.fleet.configuration, Known: true, AsOf: 1}
+	case feed.Searchers:
+		e = feed.FleetRead{Registrations: h.fleet.registrations, AsOf: 1}
+	}
+	h.fleet.after(peerDelay, func() { h.tick(ctrl.FeedEvent{Event: feed.Result{Topic: r.Topic, CallID: r.CallID, Event: e}}) })
+}
+
+// tickLane runs the lane and ends its calls as the fleet's outcome says.
+func (h *relayHost) tickLane(events ...relay.Event) {
+	f := h.fleet
+	for _, c := range h.lane.Tick(f.now, events) {
+		switch c := c.(type) {
+		case relay.StartCall:
+			f.called[c.Request] = append(f.called[c.Request], f.now)
+			f.after(workTime, func() { h.endCall(c) })
+		case relay.CancelCall:
+			h.cancelled[c.Call] = true
+		case relay.LossReport:
+			f.after(0, func() { h.tick(ctrl.LossReported(c)) })
+		}
+	}
+	if next := h.lane.Next(); !next.IsZero() {
+		f.after(max(next.Sub(f.now), time.Millisecond), func() {
+			if due := h.lane.Next(); !due.IsZero() && !f.now.Before(due) {
+				h.tickLane()
+			}
+		})
+	}
+}
+
+func (h *relayHost) endCall(c relay.StartCall) {
+	e := h.fleet.outcome(c)
+	if failed, ok := e.(relay.CallFailed); ok && !failed.NotRun {
+		h.fleet.ended = append(h.fleet.ended, h.fleet.now)
+	}
+	if e != nil && !h.cancelled[c.Call] {
+		h.tickLane(e)
+	}
+}
+
+// submit sends a request with the fingerprint 7.
+func (h *relayHost) submit(id model.RequestID) {
+	h.handle++
+	h.tickLane(relay.Arrived{Request: relay.Request{
+		Handle: h.handle, ID: id, Fingerprint: 7, Host: "h", Path: "/x", Arrived: h.fleet.now, Timeout: time.Second,
+	}})
+}
+
+// lateRetries counts the requests with a call later than stableWindow after the
+// third searcher has ended.
+func (f *relayFleet) lateRetries() int {
+	if len(f.ended) < 3 {
+		return 0
+	}
+	late := 0
+	for _, times := range f.called {
+		if last := times[len(times)-1]; last.Sub(f.ended[2]) > stableWindow {
+			late++
+		}
+	}
+	return late
+}
+
+func shardNames(n int) []model.ServiceName {
+	var list []model.ServiceName
+	for i := range n {
+		list = append(list, model.ServiceName(fmt.Sprint("shard-", i)))
+	}
+	return list
+}
+
+// Guards against a request that crashes the searchers that run it and that hosts
+// keep sending, because they do not recognize or do not share its losses. A caller
+// repeats it every so often at a random host.
+func TestCrashingRequestReachesFewSearchers(t *testing.T) {
+	repeatable := model.Route{
+		Timeout: 2 * time.Second, TargetLatency: 500 * time.Millisecond, Attempts: 2, Idempotent: true,
+		Shares: []model.Share{{Service: "s", Weight: 1}},
+	}
+	sharded := model.Route{
+		Timeout: 600 * time.Millisecond, TargetLatency: 80 * time.Millisecond, Attempts: 2, Idempotent: true,
+		Shards: shardNames(8), TopK: 3, MinCoverage: 0.75,
+	}
+	ample := relay.RetryBudget{RetryShare: 0.2, RetrySlack: 1000, RetryWindow: 10 * time.Second}
+	lost := func(c relay.StartCall) relay.Event { return relay.CallFailed{Call: c.Call, Failure: model.FailureLost} }
+	truncated := func(c relay.StartCall) relay.Event {
+		return relay.CallFailed{Call: c.Call, Failure: model.FailureTruncated}
+	}
+	for _, c := range []struct {
+		name    string
+		route   model.Route
+		budget  relay.RetryBudget
+		outcome func(relay.StartCall) relay.Event
+	}{
+		{"one searcher", repeatable, ample, lost},
+		{"one searcher, reply ends early", repeatable, ample, truncated},
+		{"sharded", sharded, ample, lost},
+		{"sharded, replies end early", sharded, ample, truncated},
+	} {
+		for _, hosts := range []int{7} {
+			for _, interval := range []time.Duration{400 * time.Millisecond, 3 * time.Second} {
+				t.Run(fmt.Sprint(c.name, "/", hosts, " hosts/every ", interval), func(t *testing.T) {
+					is := is.New(t)
+					f := newRelayFleet(hosts, c.route, c.budget)
+					f.outcome = c.outcome
+					for i := 0; f.now.Sub(epoch) < 2*time.Minute; i++ {
+						f.hosts[f.random.IntN(hosts)].submit(model.RequestID(fmt.Sprint("r-", i)))
+						f.run(interval)
+					}
+					is.True(len(f.ended) >= 3)
+					if n := f.lateRetries(); n > maxLateRetries {
+						t.Errorf("%d retries reached searchers late; %d searchers ended", n, len(f.ended))
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -101,7 +101,7 @@
 	}
 	w.Emit(Count{"callFailed", e.Failure.String()})
 	end := callDropped
-	if e.Failure == model.FailureLost && !e.NotRun {
+	if (e.Failure == model.FailureLost || e.Failure == model.FailureTruncated) && !e.NotRun {
 		end = callLost
 	}
 	w.endCall(id, c, w.Now().Sub(c.sent), end)
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -226,7 +226,8 @@
 	// searcher that ran the request.
 	callSucceeded callEnd = iota
 	callErrored
-	// callLost is a connection that closed before the reply.
+	// callLost is a connection that closed before a complete reply, as when the
+	// searcher crashes.
 	callLost
 	// callDropped is any other end, such as a call that did not run or was
 	// cancelled.
