relay: do not take an error reply as proof that a request is harmless

Callers saw a request that crashes searchers sent on while some searchers of the service failed their requests.

Cause: any reply counted as a searcher that survives the request. A searcher that fails requests before it runs them cleared the request on that host, and all held parts were sent. Change: only a successful reply clears a request. A wave in which calls were lost and none succeeded counts as lost.

--- a/internal/ctrl/crash_test.go
+++ b/internal/ctrl/crash_test.go
@@ -19,9 +19,9 @@
 const (
 	peerDelay = 5 * time.Millisecond
 	workTime  = 20 * time.Millisecond
-	// stableWindow and maxLateRetries are the bound on a request that crashes
-	// searchers: at most so many retries reach searchers later than stableWindow
-	// after the third of them has ended.
+	// maxLateRetries is the number of retries of a request that crashes searchers
+	// that may reach searchers later than stableWindow after the third of them has
+	// ended.
 	stableWindow   = 4 * time.Second
 	maxLateRetries = 3
 )
@@ -296,6 +296,13 @@
 	truncated := func(c relay.StartCall) relay.Event {
 		return relay.CallFailed{Call: c.Call, Failure: model.FailureTruncated}
 	}
+	// oneFailing crashes all searchers but one, which fails the request at once.
+	oneFailing := func(c relay.StartCall) relay.Event {
+		if c.Searcher.ID == "shard-0/0" || c.Searcher.ID == "s/0" {
+			return relay.Replied{Call: c.Call, Reply: relay.Reply{Status: 500, Signature: "x"}}
+		}
+		return lost(c)
+	}
 	for _, c := range []struct {
 		name    string
 		route   model.Route
@@ -304,8 +311,10 @@
 	}{
 		{"one searcher", repeatable, ample, lost},
 		{"one searcher, reply ends early", repeatable, ample, truncated},
+		{"one searcher, some fail", repeatable, ample, oneFailing},
 		{"sharded", sharded, ample, lost},
 		{"sharded, replies end early", sharded, ample, truncated},
+		{"sharded, some fail", sharded, ample, oneFailing},
 	} {
 		for _, hosts := range []int{7} {
 			for _, interval := range []time.Duration{400 * time.Millisecond, 3 * time.Second} {
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -75,7 +75,7 @@
 
 // handleErrorReply handles an error status or an unsigned success.
 func (w *World) handleErrorReply(id table.ID, c call, r Reply) {
-	w.endCall(id, c, w.Now().Sub(c.sent), callErrored)
+	w.endCall(id, c, w.Now().Sub(c.sent), callDropped)
 	p := w.part.Get(c.part)
 	if !w.parts.Has(c.part) || p.state != partOpen {
 		return
@@ -131,7 +131,7 @@
 	requestID := w.part.Get(c.part).request
 	r := w.request.Get(requestID).withEndedCall(end == callLost)
 	w.request.Set(requestID, r)
-	if !r.survived && (end == callSucceeded || end == callErrored) {
+	if !r.survived && end == callSucceeded {
 		w.markSurvived(requestID, r)
 	}
 	w.reviewQueue = append(w.reviewQueue, requestID)
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -222,15 +222,14 @@
 type callEnd uint8
 
 const (
-	// callSucceeded is a successful reply, and callErrored any other reply from a
-	// searcher that ran the request.
+	// callSucceeded is a successful reply.
 	callSucceeded callEnd = iota
-	callErrored
 	// callLost is a connection that closed before a complete reply, as when the
 	// searcher crashes.
 	callLost
 	// callDropped is any other end, such as a call that did not run or was
-	// cancelled.
+	// cancelled. An error reply is one too: it does not show that the searcher
+	// survives the request, because a failing searcher may reply before it runs it.
 	callDropped
 )
 
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -48,8 +48,8 @@
 // (queries of death) from requests that lose calls for other reasons. A wave is
 // the set of calls of a request that are in flight together. If some of its calls
 // are lost with their connections, their parts are held until a searcher survives
-// the request. If all are lost, the request becomes a suspect and its next wave
-// is a single call.
+// the request. If some are lost and none succeeds, the request becomes a suspect
+// and its next wave is a single call.
 func (w *World) reviewLosses() {
 	queued := w.reviewQueue
 	w.reviewQueue = w.reviewQueue[:0]
@@ -79,7 +79,7 @@
 	}
 }
 
-// recordLostWave records a wave whose calls were all lost. It releases one more
+// recordLostWave records a wave of which calls were lost and none succeeded. It releases one more
 // part unless the request has reached quarantineWaves.
 func (w *World) recordLostWave(id table.ID, r request) {
 	f := r.received.Fingerprint
