relay: count the lost calls of a request that ends early

Callers saw a request that crashes searchers sent on while one of its searchers gave no reply.

Cause: a lost wave was counted only once all of its calls had ended. A request that reached its deadline, or whose caller left, before that was removed with its losses, and each repetition sent a whole wave again. Change: the answer to a request counts its unresolved wave. At the deadline, calls of a suspect in flight count as lost.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -169,6 +169,9 @@
 // after abandonedCallTime.
 func (w *World) respond(id table.ID, a Answer) {
 	r := w.request.Get(id)
+	if r.unresolved(w.Now()) {
+		w.countLostWave(id, r)
+	}
 	w.Emit(Respond{Handle: r.received.Handle, Answer: a})
 	w.logAnswer(r, a)
 	for _, row := range r.parts {
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -98,6 +98,14 @@
 // maybeCrashing reports whether another call might crash another searcher.
 func (r request) maybeCrashing() bool { return !r.survived && (r.lostCalls > 0 || r.suspect) }
 
+// unresolved reports whether the last wave of a request that may crash searchers
+// has neither succeeded nor been counted as lost. At the deadline, the calls of a
+// suspect that are still in flight count as lost: a searcher that fails with its
+// machine closes no connection.
+func (r request) unresolved(now time.Time) bool {
+	return !r.survived && (r.lostCalls > 0 || r.suspect && r.activeCalls > 0 && !now.Before(r.deadline))
+}
+
 func (r request) withSurvived() request {
 	r.survived = true
 	return r
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -79,18 +79,10 @@
 	}
 }
 
-// recordLostWave records a wave of which calls were lost and none succeeded. It releases one more
-// part unless the request has reached quarantineWaves.
+// recordLostWave records a wave of which calls were lost and none succeeded. It
+// releases one more part unless the request has reached quarantineWaves.
 func (w *World) recordLostWave(id table.ID, r request) {
-	f := r.received.Fingerprint
-	n := w.findSuspect(f).Losses + 1
-	w.request.Set(id, r.withLostWave())
-	w.Emit(Count{"suspect", "waveLost"})
-	w.log("searchers lost while they ran a request", "request", r.received.ID, "fingerprint", f, "calls", r.lostCalls,
-		"waves", n, "quarantined", n >= quarantineWaves)
-	if f != 0 {
-		w.addSuspect(f, n, n > 1 || r.lostCalls > 1)
-	}
+	n := w.countLostWave(id, r)
 	if n < quarantineWaves {
 		w.releaseParts(id, 1)
 		return
@@ -103,6 +95,21 @@
 	}
 }
 
+// countLostWave counts a lost wave of a request and returns the number of its lost
+// waves over all hosts.
+func (w *World) countLostWave(id table.ID, r request) int {
+	f := r.received.Fingerprint
+	n := w.findSuspect(f).Losses + 1
+	w.request.Set(id, r.withLostWave())
+	w.Emit(Count{"suspect", "waveLost"})
+	w.log("searchers lost while they ran a request", "request", r.received.ID, "fingerprint", f, "calls", r.lostCalls,
+		"unanswered", r.activeCalls, "waves", n, "quarantined", n >= quarantineWaves)
+	if f != 0 {
+		w.addSuspect(f, n, n > 1 || r.lostCalls > 1)
+	}
+	return n
+}
+
 // addSuspect records a suspect and, if report is set, reports it to the other hosts.
 // A single lost call is not reported, because its usual cause is the connection.
 func (w *World) addSuspect(f model.Fingerprint, losses int, report bool) {
--- a/internal/relay/suspects_test.go
+++ b/internal/relay/suspects_test.go
@@ -137,6 +137,44 @@
 	}
 }
 
+// TestLostWaveIsCountedWhenTheRequestEnds guards against forgetting the lost calls
+// of a request that is answered, or whose caller leaves, while another of its calls
+// gets no reply. Each repetition would crash a whole wave of searchers again.
+func TestLostWaveIsCountedWhenTheRequestEnds(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		t.Run(fmt.Sprint("caller leaves: ", leaves), func(t *testing.T) {
+			is := is.New(t)
+			l := newLane(4, nil)
+			l.advance(l.RetryBudget.RetryWindow)
+			h := l.submitWithFingerprint("/all/x", crashingFingerprint)
+			for _, c := range l.sent[1:] {
+				l.lose(c) // the first call gets no reply
+			}
+			if leaves {
+				l.tick(CallerDisconnected{Handle: h})
+			}
+			l.advance(2 * time.Second)
+			is.Equal(l.findSuspect(crashingFingerprint).Losses, 1)
+			first := len(l.sent)
+			l.submitWithFingerprint("/all/x", crashingFingerprint)
+			is.Equal(len(l.sent)-first, 1) // a single call tests the request
+			l.advance(2 * time.Second)     // it gets no reply either
+			is.Equal(l.findSuspect(crashingFingerprint).Losses, 2)
+		})
+	}
+}
+
+// TestSuspectOfACallerThatLeavesIsNotLost guards against counting the call of a
+// suspect as lost only because its caller did not wait for the reply.
+func TestSuspectOfACallerThatLeavesIsNotLost(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, nil)
+	l.receiveSuspect(Suspect{Losses: 1, At: l.now})
+	h := l.submitWithFingerprint("/one/x", crashingFingerprint)
+	l.tick(CallerDisconnected{Handle: h})
+	is.Equal(l.findSuspect(crashingFingerprint).Losses, 1)
+}
+
 // TestUnrelatedLossesAreNotQuarantined guards against a quarantine of a request
 // whose calls were lost for other reasons: its retry by the caller is served.
 func TestUnrelatedLossesAreNotQuarantined(t *testing.T) {
