ctrl: add up the losses of all hosts and share every loss and survival

Callers saw a request that crashes searchers sent on through one host after another.

Cause: a host did not report a wave of a single lost call, and the control world kept the larger of two hosts' counts instead of their sum, so that each host crashed searchers of its own before any of them refused the request. The product's own engine (package query) shares the table and had the same fault; the harness of its crash test added the hosts' losses up, as the code did not. Change: each process counts its losses; hosts exchange the counts and add them up (a grow-only counter). As all losses are shared now, so is a survival, which starts the counts anew; else scattered losses of a popular request would add up to a quarantine. The message Quarantine has two new fields.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -30,11 +30,17 @@
 	Quarantine []Quarantine
 }
 
-// Quarantine is the quarantine entry of a request that was running when
-// searchers were lost.
+// Quarantine holds the losses of a request that was running when searchers were
+// lost, as counted by one process. The losses of all processes add up.
 type Quarantine struct {
 	Fingerprint model.Fingerprint
-	Losses      int
+	// Reporter identifies the process that counted the losses.
+	Reporter uint64
+	// Losses counts the losses since a searcher last survived the request.
+	Losses int
+	// Survivals counts how often a searcher survived the request after losses. An
+	// entry replaces all entries of the request with fewer.
+	Survivals int
 	// TTL is the time until the entry expires. It is a duration because the clocks
 	// of hosts may differ.
 	TTL time.Duration
@@ -77,12 +83,17 @@
 	Leaving  bool
 }
 
-// LossReported reports that a lane lost searchers while they ran a request.
+// LossReported reports that a lane lost searchers while they ran a request. Losses
+// counts only the losses that were not reported before.
 type LossReported struct {
 	Fingerprint model.Fingerprint
 	Losses      int
 }
 
+// SurvivalReported reports that a searcher survived a request that had been running
+// when searchers were lost.
+type SurvivalReported struct{ Fingerprint model.Fingerprint }
+
 // LeaveRequested removes this host from address answers and tells peers that it
 // is leaving.
 type LeaveRequested struct{}
@@ -90,15 +101,16 @@
 // RefuseRequested makes traffic refuse new requests.
 type RefuseRequested struct{}
 
-func (Probed) event()          {}
-func (Acked) event()           {}
-func (Pushed) event()          {}
-func (MemberEvent) event()     {}
-func (SpreadEvent) event()     {}
-func (HostListRead) event()    {}
-func (LossReported) event()    {}
-func (LeaveRequested) event()  {}
-func (RefuseRequested) event() {}
+func (Probed) event()           {}
+func (Acked) event()            {}
+func (Pushed) event()           {}
+func (MemberEvent) event()      {}
+func (SpreadEvent) event()      {}
+func (HostListRead) event()     {}
+func (LossReported) event()     {}
+func (SurvivalReported) event() {}
+func (LeaveRequested) event()   {}
+func (RefuseRequested) event()  {}
 
 // Command is an action for the caller to perform after a tick.
 type Command interface{ command() }
--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -79,7 +79,7 @@
 func NewRelay(self model.Host, incarnation uint64) *Relay {
 	seed := xxhash.Sum64String(string(self.ID))
 	w := &Relay{
-		membership: newMembership(self, incarnation), Feed: feed.NewWorld(), suspects: newSuspects(),
+		membership: newMembership(self, incarnation), Feed: feed.NewWorld(), suspects: newSuspects(self.ID, incarnation),
 		view: relay.View{HostCount: assumedHostCount, Reason: "no configuration is known yet"},
 	}
 	w.Feed.FailureDomain = self.FailureDomain
@@ -240,7 +240,7 @@
 	if w.suspects.expire(w.Now(), w.WakeAt) || reported || learned {
 		entries := map[model.Fingerprint]relay.Suspect{}
 		for f, s := range w.suspects.all() {
-			entries[f] = relay.Suspect{Losses: s.losses, At: s.expiresAt.Add(-quarantineDuration)}
+			entries[f] = relay.Suspect{Losses: s.losses(), At: s.expiresAt().Add(-quarantineDuration)}
 		}
 		w.view, w.dirty = w.view.WithSuspects(entries), true
 	}
--- a/internal/ctrl/world.go
+++ b/internal/ctrl/world.go
@@ -56,7 +56,7 @@
 		probeSentAt: policy.NewLRU[uint64, time.Time](maxTrackedProbes),
 		// A host runs no service before it has a seat.
 		view: view.New().WithReady(false, "no settings are known yet").WithRoutes(nil, map[model.ServiceName]view.Ownership{}), rootSettings: tree.New().Effective(tree.Root),
-		suspects: newSuspects(), dirty: true,
+		suspects: newSuspects(self.ID, incarnation), dirty: true,
 	}
 	w.SetSystems(
 		w.queueSeedCount, w.receive, w.receiveHostList, w.tickMember, w.tickSpread, w.tickRoute, w.drain, w.updateSelfState,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -159,7 +159,7 @@
 		w := query.NewWorld(s.Host, s.FailureDomain)
 		w.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		l := newLane(w, d.pool, d.Meter, d.Log)
-		l.reportLoss = d.peers.reportLoss
+		l.report = d.peers.report
 		d.lanes = append(d.lanes, l)
 	}
 	d.changes = newChangeRunner(d.Store, d.Meter, d.Log)
--- a/internal/daemon/lane.go
+++ b/internal/daemon/lane.go
@@ -24,11 +24,11 @@
 // lane runs the loop of one query world and executes its commands. Its maps are
 // shared by the goroutines of the loop, of request handlers and of calls.
 type lane struct {
-	loop       *tick.Loop[query.Event, query.Command]
-	pool       *dial.Pool
-	meter      *meter.Meter
-	log        hclog.Logger
-	reportLoss func(ctrl.LossReported)
+	loop   *tick.Loop[query.Event, query.Command]
+	pool   *dial.Pool
+	meter  *meter.Meter
+	log    hclog.Logger
+	report func(ctrl.Event)
 
 	calls       sync.WaitGroup
 	waiting     *pending[model.RequestID, model.Answer]
@@ -39,7 +39,7 @@
 
 func newLane(world *query.World, pool *dial.Pool, m *meter.Meter, log hclog.Logger) *lane {
 	l := &lane{
-		pool: pool, meter: m, log: log, reportLoss: func(ctrl.LossReported) {},
+		pool: pool, meter: m, log: log, report: func(ctrl.Event) {},
 		waiting: newPending[model.RequestID, model.Answer](), cancels: map[callID]context.CancelFunc{},
 		statusQuery: newStatusQuery[query.Status]("read lane status"),
 	}
@@ -83,7 +83,9 @@
 		l.statusQuery.deliver(c.Token, c.Status)
 	case query.ReportSuspect:
 		l.log.Warn("searcher lost while it ran a request", "fingerprint", c.Fingerprint, "losses", c.Losses)
-		l.reportLoss(ctrl.LossReported(c))
+		l.report(ctrl.LossReported{Fingerprint: c.Fingerprint, Losses: 1})
+	case query.ReportSurvival:
+		l.report(ctrl.SurvivalReported(c))
 	}
 }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -71,7 +71,7 @@
 	// reports is the queue of reports from lanes to the control loop. A lane must
 	// never block on the control loop, because the control loop blocks on lanes
 	// when it sends them a view.
-	reports chan ctrl.LossReported
+	reports chan ctrl.Event
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -87,7 +87,7 @@
 func newPeerTransport(self model.HostID, m *meter.Meter, log hclog.Logger) *peerTransport {
 	p := &peerTransport{
 		pool: link.NewPool(), server: link.NewServer(), log: log, meter: m, self: self,
-		reports: make(chan ctrl.LossReported, maxQueuedReports), waiting: map[uint64]chan ctrl.Command{},
+		reports: make(chan ctrl.Event, maxQueuedReports), waiting: map[uint64]chan ctrl.Command{},
 		expected: map[model.Address][]model.HostID{},
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
@@ -120,9 +120,9 @@
 	p.calls.Wait()
 }
 
-// reportLoss queues a lane's report for the control loop. It never blocks: if the
+// report queues a lane's report for the control loop. It never blocks: if the
 // queue is full, it drops the report.
-func (p *peerTransport) reportLoss(r ctrl.LossReported) {
+func (p *peerTransport) report(r ctrl.Event) {
 	select {
 	case p.reports <- r:
 	default:
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -123,7 +123,7 @@
 	r.peers = newPeerTransport(r.Self.ID, r.Meter, r.Log)
 	r.peers.send = r.control.Send
 	r.peers.server.Pull = r.handlePull
-	r.lane.reportLoss = r.peers.reportLoss
+	r.lane.report = r.peers.report
 }
 
 // announce publishes this host's address. It makes up to announceAttempts
--- a/internal/daemon/relaylane.go
+++ b/internal/daemon/relaylane.go
@@ -19,14 +19,14 @@
 	pool        *conns.Pool
 	meter       *meter.Meter
 	log         hclog.Logger
-	reportLoss  func(ctrl.LossReported)
+	report      func(ctrl.Event)
 	waiting     *pending[relay.Handle, relay.Answer]
 	statusQuery *statusQuery[relay.Status]
 }
 
 func newRelayLane(world *relay.World, pool *conns.Pool, m *meter.Meter, log hclog.Logger) *relayLane {
 	l := &relayLane{
-		pool: pool, meter: m, log: log, reportLoss: func(ctrl.LossReported) {}, waiting: newPending[relay.Handle, relay.Answer](),
+		pool: pool, meter: m, log: log, report: func(ctrl.Event) {}, waiting: newPending[relay.Handle, relay.Answer](),
 		statusQuery: newStatusQuery[relay.Status]("read lane status"),
 	}
 	l.loop = tick.NewLoop[relay.Event, relay.Command](world, l.execute)
@@ -68,7 +68,9 @@
 	case relay.StatusReported:
 		l.statusQuery.deliver(c.Token, c.Status)
 	case relay.LossReport:
-		l.reportLoss(ctrl.LossReported(c))
+		l.report(ctrl.LossReported(c))
+	case relay.SurvivalReport:
+		l.report(ctrl.SurvivalReported(c))
 	case relay.Count:
 		l.meter.Count(c.Group, c.Reason)
 	case relay.Observe:
--- a/internal/query/events.go
+++ b/internal/query/events.go
@@ -101,7 +101,7 @@
 	Reason  string
 }
 
-// ReportSuspect tells the control thread that a request was running when a
+// ReportSuspect tells the control thread that a request was running when one more
 // searcher was lost.
 type ReportSuspect struct {
 	Fingerprint model.Fingerprint
@@ -109,8 +109,12 @@
 	Losses int
 }
 
-func (StartCall) command()     {}
-func (CancelCall) command()    {}
-func (Respond) command()       {}
-func (Count) command()         {}
-func (ReportSuspect) command() {}
+// ReportSurvival tells the control thread that a searcher survived a suspect.
+type ReportSurvival struct{ Fingerprint model.Fingerprint }
+
+func (StartCall) command()      {}
+func (CancelCall) command()     {}
+func (Respond) command()        {}
+func (Count) command()          {}
+func (ReportSuspect) command()  {}
+func (ReportSurvival) command() {}
--- a/internal/query/suspects.go
+++ b/internal/query/suspects.go
@@ -65,9 +65,13 @@
 		w.proven.Put(r.fingerprint, true)
 		w.markFingerprintChanged(r.fingerprint)
 	}
+	suspected := w.isSuspect(r.fingerprint)
 	if row, ok := w.suspects.Find(r.fingerprint); ok && w.suspect.Get(row).losses < quarantineLosses {
 		w.suspects.Remove(row)
 	}
+	if suspected && !w.isQuarantined(r.fingerprint) {
+		w.Emit(ReportSurvival{Fingerprint: r.fingerprint})
+	}
 	if r.mode == dispatchUnrestricted && !r.suspect {
 		return
 	}
@@ -127,9 +131,12 @@
 		return
 	}
 	row, _ := w.suspects.Add(r.fingerprint)
+	known := w.suspect.Get(row).losses
 	s := w.suspect.Get(row).withLoss(w.searchers.Key(c.searcher), w.Now(), w.Now().Add(w.rootSettings.Quarantine))
 	w.suspect.Set(row, s)
-	w.Emit(ReportSuspect{Fingerprint: r.fingerprint, Losses: s.losses})
+	if s.losses > known {
+		w.Emit(ReportSuspect{Fingerprint: r.fingerprint, Losses: s.losses})
+	}
 	r = r.withSuspect()
 	if s.losses >= quarantineLosses {
 		r = r.withRefusal(newRefusal(model.ReasonQuarantined, "%d searchers were lost to this request", s.losses).
--- a/internal/relay/apply.go
+++ b/internal/relay/apply.go
@@ -19,6 +19,7 @@
 		old := w.view
 		w.view = e.View
 		w.updateSearchers()
+		w.forgetSurvived(old)
 		w.updateRetryBudgets()
 		w.planConnections()
 		w.changedServices = slices.AppendSeq(w.changedServices, w.services.All())
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -126,12 +126,15 @@
 }
 
 // LossReport tells the other hosts that a request may crash searchers. Losses is
-// the number of its waves of calls that were lost entirely.
+// the number of its lost waves of calls that were not reported before.
 type LossReport struct {
 	Fingerprint model.Fingerprint
 	Losses      int
 }
 
+// SurvivalReport tells the other hosts that a searcher survived a suspect.
+type SurvivalReport struct{ Fingerprint model.Fingerprint }
+
 // Count increments a counter of a metric group.
 type Count struct{ Group, Reason string }
 
@@ -153,6 +156,7 @@
 func (Respond) command()        {}
 func (ConnectionPlan) command() {}
 func (LossReport) command()     {}
+func (SurvivalReport) command() {}
 func (Count) command()          {}
 func (Observe) command()        {}
 func (LogLine) command()        {}
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -105,14 +105,16 @@
 	w.log("searchers lost while they ran a request", "request", r.received.ID, "fingerprint", f, "calls", r.lostCalls,
 		"unanswered", r.activeCalls, "waves", n, "quarantined", n >= quarantineWaves)
 	if f != 0 {
-		w.addSuspect(f, n, n > 1 || r.lostCalls > 1)
+		w.addSuspect(f, n)
 	}
 	return n
 }
 
-// addSuspect records a suspect and, if report is set, reports it to the other hosts.
-// A single lost call is not reported, because its usual cause is the connection.
-func (w *World) addSuspect(f model.Fingerprint, losses int, report bool) {
+// addSuspect records a suspect and reports its loss to the other hosts. A single
+// lost call is reported too, although its usual cause is the connection: callers
+// repeat a request at other hosts, each of which would lose a call of its own.
+func (w *World) addSuspect(f model.Fingerprint, losses int) {
+	w.Emit(LossReport{Fingerprint: f, Losses: 1})
 	row, added := w.suspects.Add(f)
 	if added && w.suspects.Len() > maxSuspects {
 		w.suspects.Remove(row)
@@ -120,9 +122,6 @@
 		return
 	}
 	w.suspect.Set(row, Suspect{Losses: losses, At: w.Now()})
-	if report {
-		w.Emit(LossReport{Fingerprint: f, Losses: losses})
-	}
 }
 
 // holdPart defers the dispatch of a part until reviewRequest releases it.
@@ -154,18 +153,33 @@
 	}
 }
 
-// markSurvived records that a searcher survived the request. Other hosts are not
-// told; they test the request with a call of their own.
+// markSurvived records that a searcher survived the request, and tells the other
+// hosts if it was a suspect.
 func (w *World) markSurvived(id table.ID, r request) {
 	if r.suspect {
 		w.log("searcher survived a suspect", "request", r.received.ID, "fingerprint", r.received.Fingerprint)
 	}
 	if f := r.received.Fingerprint; w.findSuspect(f).Losses > 0 {
 		w.survivedAt.Put(f, w.Now())
+		w.Emit(SurvivalReport{Fingerprint: f})
 	}
 	w.request.Set(id, r.withSurvived())
 }
 
+// forgetSurvived removes the suspects of this lane that the new view no longer
+// lists, because a searcher of another host survived them.
+func (w *World) forgetSurvived(old View) {
+	for id := range w.suspects.All() {
+		f := w.suspects.Key(id)
+		if _, listed := w.view.Suspects[f]; listed {
+			continue
+		}
+		if _, listed := old.Suspects[f]; listed {
+			w.suspects.Remove(id)
+		}
+	}
+}
+
 // expireSuspects is the system that removes suspects after suspectLifetime.
 func (w *World) expireSuspects() {
 	for id := range w.suspects.All() {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -84,7 +84,8 @@
 	}
 	for _, q := range g.Quarantine {
 		m.Quarantine = append(m.Quarantine, &peer.Quarantine{
-			Fingerprint: uint64(q.Fingerprint), Losses: uint32(q.Losses), LeftMs: q.TTL.Milliseconds(),
+			Fingerprint: uint64(q.Fingerprint), Reporter: q.Reporter, Losses: uint32(q.Losses), Survivals: uint32(q.Survivals),
+			LeftMs: q.TTL.Milliseconds(),
 		})
 	}
 	return m
@@ -98,8 +99,8 @@
 	}
 	for _, q := range m.GetQuarantine() {
 		g.Quarantine = append(g.Quarantine, ctrl.Quarantine{
-			Fingerprint: model.Fingerprint(q.GetFingerprint()), Losses: int(q.GetLosses()),
-			TTL: time.Duration(q.GetLeftMs()) * time.Millisecond,
+			Fingerprint: model.Fingerprint(q.GetFingerprint()), Reporter: q.GetReporter(), Losses: int(q.GetLosses()),
+			Survivals: int(q.GetSurvivals()), TTL: time.Duration(q.GetLeftMs()) * time.Millisecond,
 		})
 	}
 	return g
