relay: test a quarantined request on one host at a time, after a minute

Callers saw a request that crashes searchers sent on after its quarantine.

Cause: the quarantine of 20 s ended on all hosts at the same time, and each host then tested the request with a call of its own until it had heard of the others' losses. Evidence: TestCrashingRequestReachesFewSearchers, silent searchers, one retry every 3 s: 4 retries after the third searcher had ended on 7 and on 40 hosts; 3 are allowed. Change: the first quarantine lasts 1 minute, and its end differs by 5 s from host to host.

--- a/internal/ctrl/crash_test.go
+++ b/internal/ctrl/crash_test.go
@@ -297,7 +297,13 @@
 	truncated := func(c relay.StartCall) relay.Event {
 		return relay.CallFailed{Call: c.Call, Failure: model.FailureTruncated}
 	}
-	// oneFailing crashes all searchers but one, which fails the request at once.
+	// oneSilent and oneFailing crash all searchers but some of one service.
+	oneSilent := func(c relay.StartCall) relay.Event {
+		if c.Searcher.ID == "shard-0/0" || c.Searcher.ID == "shard-0/1" {
+			return nil
+		}
+		return lost(c)
+	}
 	oneFailing := func(c relay.StartCall) relay.Event {
 		if c.Searcher.ID == "shard-0/0" || c.Searcher.ID == "s/0" {
 			return relay.Replied{Call: c.Call, Reply: relay.Reply{Status: 500, Signature: "x"}}
@@ -318,6 +324,7 @@
 		{"sharded", sharded, ample, lost},
 		{"sharded, retry budget spent", sharded, relay.RetryBudget{RetryWindow: 10 * time.Second}, lost},
 		{"sharded, replies end early", sharded, ample, truncated},
+		{"sharded, some searchers are silent", sharded, ample, oneSilent},
 		{"sharded, some fail", sharded, ample, oneFailing},
 	} {
 		for _, hosts := range []int{7, 40} {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -39,7 +39,7 @@
 	if !ok {
 		return model.Route{}, model.NewRefusal(model.ReasonUnknownScope, "no route for host %q and path %q", r.Host, r.Path), false
 	}
-	if s := w.findSuspect(r.Fingerprint); w.Now().Before(s.RefusedUntil()) {
+	if s := w.findSuspect(r.Fingerprint); w.Now().Before(w.refusedUntil(r.Fingerprint, s)) {
 		return model.Route{}, model.NewRefusal(model.ReasonQuarantined,
 			"searchers were lost while they ran this request, %d times", s.Losses), false
 	}
@@ -53,7 +53,7 @@
 func (w *World) refuseRequest(r Request, refusal model.Refusal) {
 	after := notReadyRetryAfter
 	if refusal.Reason == model.ReasonQuarantined {
-		after = w.findSuspect(r.Fingerprint).RefusedUntil().Sub(w.Now())
+		after = w.refusedUntil(r.Fingerprint, w.findSuspect(r.Fingerprint)).Sub(w.Now())
 	}
 	w.Emit(Count{"refusal", string(refusal.Reason)})
 	w.log("request refused", "request", r.ID, "host", r.Host, "path", r.Path, "reason", refusal.Reason,
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/table"
 )
@@ -14,10 +17,14 @@
 	quarantineWaves = 4
 	// quarantineMin is how long such a request is refused; the time doubles with
 	// each further lost wave up to quarantineMax. After that, a single call tests
-	// whether the losses had another cause. A crashed searcher restarts within
-	// some seconds, and callers retry such a request within seconds.
-	quarantineMin = 20 * time.Second
+	// whether the losses had another cause. Callers repeat such a request for as long
+	// as they need its answer, and each test may cost a searcher.
+	quarantineMin = time.Minute
 	quarantineMax = 10 * time.Minute
+	// quarantineTestInterval is the time between the ends of the quarantine on two
+	// hosts, so that the other hosts hear of the losses of a test before they test
+	// the request too. Gossip reaches a fleet of hundreds within it.
+	quarantineTestInterval = 5 * time.Second
 	// suspectLifetime is how long a lane itself keeps a suspect. The control thread
 	// keeps it longer and gets a report within milliseconds.
 	suspectLifetime = time.Minute
@@ -44,6 +51,16 @@
 	return s
 }
 
+// refusedUntil returns the end of a suspect's quarantine on this host, which differs
+// between hosts by multiples of quarantineTestInterval.
+func (w *World) refusedUntil(f model.Fingerprint, s Suspect) time.Time {
+	if s.Losses < quarantineWaves {
+		return s.At
+	}
+	slot := xxhash.Sum64String(string(w.Host)+"/"+strconv.FormatUint(uint64(f), 16)) % uint64(w.view.HostCount)
+	return s.RefusedUntil().Add(time.Duration(slot) * quarantineTestInterval)
+}
+
 // reviewLosses is the system that distinguishes requests that crash searchers
 // (queries of death) from requests that lose calls for other reasons. A wave is
 // the set of calls of a request that are in flight together. If some of its calls
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -70,14 +70,15 @@
 // Suspect is a request that was running when searchers were lost, and that may be
 // a query of death: one that crashes the searchers that run it.
 type Suspect struct {
-	// Losses is the number of waves whose calls were all lost. A wave is the set of
-	// calls of the request that are in flight together.
+	// Losses is the number of waves in which calls were lost and none succeeded, over
+	// all hosts. A wave is the set of calls of the request that are in flight together.
 	Losses int
 	// At is the time of the last lost wave.
 	At time.Time
 }
 
-// RefusedUntil returns the end of the quarantine.
+// RefusedUntil returns the end of the quarantine on the first host that tests the
+// request again.
 func (s Suspect) RefusedUntil() time.Time {
 	if s.Losses < quarantineWaves {
 		return s.At
