relay: divide the retry slack among all known hosts, not the live ones

Callers saw repeats beyond the retry budget while hosts could not reach each other.

Cause: the share of a host grew with the number of hosts that it held as failed. Hosts that cannot reach each other each took three quarters of the slack, and a host that started in such a time and met no peer took all of it. Ruled out: the share of the ordinary calls, which adds up over hosts. Change: shares of an amount that must not be exceeded depend on the hosts that have not left, also those that seem to have failed. A host that met no peer counts the hosts that the store lists. Connections are still divided among the live hosts, as a searcher resets those beyond its cap.

--- a/internal/ctrl/crash_test.go
+++ b/internal/ctrl/crash_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -205,7 +207,11 @@
 	if !ok {
 		return
 	}
-	var e feed.Event = feed.HostsRead{}
+	list := feed.HostsRead{}
+	for _, id := range slices.Sorted(maps.Keys(h.fleet.byHost)) {
+		list.Hosts = append(list.Hosts, h.fleet.byHost[id].host)
+	}
+	var e feed.Event = list
 	switch r.Topic {
 	case feed.Configuration:
 		e = feed.ConfigurationRead{Configuration: h.fleet.configuration, Known: true, AsOf: 1}
@@ -273,6 +279,46 @@
 	return late
 }
 
+// Guards against more retries than the retry budget of all hosts allows when hosts
+// cannot reach each other, and each takes the share of those that it holds as
+// failed, or, if it has started since, that it has not heard of.
+func TestPartitionedHostsKeepTheRetryBudget(t *testing.T) {
+	const hosts, requests = 7, 700
+	budget := relay.RetryBudget{RetryShare: 0.2, RetrySlack: 54, RetryWindow: 10 * time.Second}
+	route := model.Route{
+		Timeout: 2 * time.Second, TargetLatency: 500 * time.Millisecond, Attempts: 2, Idempotent: true,
+		Shares: []model.Share{{Service: "s", Weight: 1}},
+	}
+	for _, restart := range []bool{false, true} {
+		t.Run(fmt.Sprint("hosts restart: ", restart), func(t *testing.T) {
+			f := newRelayFleet(hosts, route, budget)
+			f.outcome = func(c relay.StartCall) relay.Event {
+				return relay.Replied{Call: c.Call, Reply: relay.Reply{Status: 503, NotRun: true}}
+			}
+			f.partitioned = true
+			if restart {
+				old := f.hosts
+				f.hosts, f.queue = nil, nil
+				for _, h := range old {
+					f.start(h.host, budget)
+				}
+			}
+			f.run(30 * time.Second) // each host holds all others as failed
+			for i := range requests {
+				f.hosts[i%hosts].submit(model.RequestID(fmt.Sprint("r-", i)))
+				f.run(budget.RetryWindow / requests)
+			}
+			extra := 0
+			for _, times := range f.called {
+				extra += len(times) - 1
+			}
+			if allowed := budget.RetryShare*requests + budget.RetrySlack; float64(extra) > allowed {
+				t.Errorf("%d retries in a window; allowed: %.0f", extra, allowed)
+			}
+		})
+	}
+}
+
 func shardNames(n int) []model.ServiceName {
 	var list []model.ServiceName
 	for i := range n {
--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -277,22 +277,29 @@
 	}
 	w.standalone = standalone
 	w.dirty = false
-	var serving []model.Member
-	hostCount := 0
+	var serving, known []model.Member
 	for id := range w.members.All() {
 		m := w.member.Get(id)
 		if m.State != model.MemberLeft {
-			hostCount++
+			known = append(known, m)
 		}
 		if live(m) && m.Ready {
 			serving = append(serving, m)
 		}
 	}
 	joined := w.Member.Joined() || standalone
+	hostCount := len(known)
+	if standalone {
+		// The hosts that the store lists may be running, but unreachable for this one.
+		hostCount = max(hostCount, w.Member.ContactCount()+1)
+	}
 	if !joined {
 		hostCount = max(hostCount, assumedHostCount)
 	}
+	if hostCount > len(known) {
+		known = nil // all hosts get equal shares
+	}
 	slices.SortFunc(serving, func(a, b model.Member) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
-	w.view = w.view.WithHosts(serving, hostCount, joined).WithPreferredHosts()
+	w.view = w.view.WithHosts(serving, hostCount, joined).WithKnownHosts(known).WithPreferredHosts()
 	w.Emit(PublishRelay{View: w.view})
 }
--- a/internal/member/world.go
+++ b/internal/member/world.go
@@ -179,6 +179,10 @@
 // Joined reports whether a peer has sent its full state.
 func (w *World) Joined() bool { return w.joined }
 
+// ContactCount returns the number of addresses known for first contact, some of
+// which may belong to members or to hosts that are gone.
+func (w *World) ContactCount() int { return w.contacts.Len() }
+
 // Hash returns a hash of all rows except those of failed and left members; equal
 // hashes mean equal rows.
 func (w *World) Hash() uint64 { return w.hash }
--- a/internal/relay/apply.go
+++ b/internal/relay/apply.go
@@ -84,7 +84,7 @@
 	if w.Now().Before(w.StartTime().Add(w.RetryBudget.RetryWindow)) {
 		return 0
 	}
-	return w.hostShare(w.RetryBudget.RetrySlack) * usableBudgetShare
+	return w.fixedShare(w.RetryBudget.RetrySlack) * usableBudgetShare
 }
 
 // grantRetrySlack is the system that grants the retry slack once the process has
@@ -98,17 +98,31 @@
 	}
 }
 
-// hostShare returns this host's share of an amount that all hosts divide. Once
-// all hosts are known, the preferred hosts get the greater part.
-func (w *World) hostShare(total float64) float64 {
-	preferred, others := float64(len(w.view.PreferredHosts)), float64(w.view.HostCount-len(w.view.PreferredHosts))
+// liveShare returns this host's share of an amount that the hosts that serve
+// callers divide. Shares grow while other hosts seem to have failed, so that the
+// sum over all hosts may exceed the amount.
+func (w *World) liveShare(total float64) float64 {
+	return w.share(total, len(w.view.PreferredHosts), w.view.Prefers(w.Host))
+}
+
+// fixedShare returns this host's share of an amount that must not be exceeded. It
+// depends only on the hosts that have not left, so that the shares add up to the
+// amount also while hosts fail, restart or cannot reach each other.
+func (w *World) fixedShare(total float64) float64 {
+	return w.share(total, len(w.view.LargeShareHosts), w.view.HasLargeShare(w.Host))
+}
+
+// share returns the share of one host in an amount of which the given number of
+// hosts get the greater part, once all hosts are known.
+func (w *World) share(total float64, largeHosts int, large bool) float64 {
+	others := w.view.HostCount - largeHosts
 	switch {
-	case preferred == 0 || others <= 0 || !w.view.Joined:
+	case largeHosts == 0 || others <= 0 || !w.view.Joined:
 		return total / float64(w.view.HostCount)
-	case w.view.Prefers(w.Host):
-		return total * preferredShare / preferred
+	case large:
+		return total * preferredShare / float64(largeHosts)
 	default:
-		return total * (1 - preferredShare) / others
+		return total * (1 - preferredShare) / float64(others)
 	}
 }
 
@@ -156,7 +170,7 @@
 	if connectionCap == 0 {
 		return maxConnections
 	}
-	return min(int(w.hostShare(float64(connectionCap))/hostReplacementFactor), maxConnections)
+	return min(int(w.liveShare(float64(connectionCap))/hostReplacementFactor), maxConnections)
 }
 
 // searcherSubset returns two searchers of a service. Searchers in this host's
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -28,20 +28,23 @@
 
 // WithPreferredHosts returns the view with the hosts that callers are directed
 // to: hosts with searchers in their failure domain, limited to large hosts if
-// those suffice. The result depends on Fleet and Hosts.
+// those suffice. LargeShareHosts are chosen in the same way from all known hosts,
+// so that shares do not grow while hosts fail or cannot reach each other. The
+// result depends on Fleet, Hosts and KnownHosts.
 func (v View) WithPreferredHosts() View {
-	v.PreferredHosts = largeHosts(v.hostsNearSearchers())
+	v.PreferredHosts = largeHosts(v.hostsNearSearchers(v.Hosts))
+	v.LargeShareHosts = largeHosts(v.hostsNearSearchers(v.KnownHosts))
 	return v
 }
 
 // Prefers reports whether callers are directed to the host.
-func (v View) Prefers(host model.HostID) bool {
-	for _, m := range v.PreferredHosts {
-		if m.Host.ID == host {
-			return true
-		}
-	}
-	return false
+func (v View) Prefers(host model.HostID) bool { return containsHost(v.PreferredHosts, host) }
+
+// HasLargeShare reports whether the host is one of LargeShareHosts.
+func (v View) HasLargeShare(host model.HostID) bool { return containsHost(v.LargeShareHosts, host) }
+
+func containsHost(list []model.Member, host model.HostID) bool {
+	return slices.ContainsFunc(list, func(m model.Member) bool { return m.Host.ID == host })
 }
 
 // HostsFor returns the hosts that callers of a failure domain should use: the
@@ -74,16 +77,16 @@
 	return trusted
 }
 
-// hostsNearSearchers returns the hosts in the failure domains whose searchers
-// cover the most services.
-func (v View) hostsNearSearchers() []model.Member {
+// hostsNearSearchers returns the given hosts that are in the failure domains whose
+// searchers cover the most services.
+func (v View) hostsNearSearchers(hosts []model.Member) []model.Member {
 	services := v.servicesByDomain()
 	best := 0
-	for _, m := range v.Hosts {
+	for _, m := range hosts {
 		best = max(best, services[m.Host.FailureDomain])
 	}
 	var list []model.Member
-	for _, m := range v.Hosts {
+	for _, m := range hosts {
 		if float64(services[m.Host.FailureDomain]) >= nearbyServiceShare*float64(best) {
 			list = append(list, m)
 		}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -20,6 +20,11 @@
 	// PreferredHosts are the hosts that callers are directed to; see
 	// WithPreferredHosts.
 	PreferredHosts []model.Member
+	// KnownHosts are all hosts that have not left, also those that seem to have
+	// failed; none while the hosts are not known. LargeShareHosts are the hosts among them that hold the greater part of
+	// an amount that all hosts divide; see WithPreferredHosts.
+	KnownHosts      []model.Member
+	LargeShareHosts []model.Member
 	// Suspects holds the requests that may crash searchers, as seen by this host
 	// and its peers.
 	Suspects map[model.Fingerprint]Suspect
@@ -49,6 +54,12 @@
 	return v
 }
 
+// WithKnownHosts returns the view with the hosts that have not left.
+func (v View) WithKnownHosts(hosts []model.Member) View {
+	v.KnownHosts = hosts
+	return v
+}
+
 // WithSuspects returns the view with the given requests that may crash searchers.
 func (v View) WithSuspects(suspects map[model.Fingerprint]Suspect) View {
 	v.Suspects = suspects
