relay: send a searcher no calls for as long as it asks

Cause: the header was decoded nowhere; a refusal only lowered the number of calls in flight. Evidence: TestPausedSearcherGetsNoCalls and TestRestrictedRequestIsRefusedAtOnce cannot pass without it; TestRelayUnderFaults now lets searchers name pauses and fails if one of them gets a call. Parts wait for a paused searcher only if it is back within the target of the route. A request that cannot reach its coverage because of pauses is refused before any call, with the time until it can.

--- a/internal/model/refusal.go
+++ b/internal/model/refusal.go
@@ -47,6 +47,9 @@
 	ReasonSearcherFailed Reason = "searcherFailed"
 	// ReasonRetryBudget is used if the retry budget allowed no further call.
 	ReasonRetryBudget Reason = "retryBudget"
+	// ReasonRestricted is used if the searchers have asked this host to send fewer
+	// requests, or none for a while.
+	ReasonRestricted Reason = "restricted"
 )
 
 // Refusal is the error of a refused request.
@@ -104,6 +107,8 @@
 	MissingSuspect MissingReason = "suspect"
 	// MissingRetryBudget means that the retry budget allowed no further call.
 	MissingRetryBudget MissingReason = "retryBudget"
+	// MissingRestricted means that the searchers take no call of this host for now.
+	MissingRestricted MissingReason = "restricted"
 )
 
 // RetryReason is the reason why a call is retried on another replica.
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -22,13 +22,27 @@
 	tick.Each(w.Inbox(), func(e Arrived) {
 		route, refusal, ok := w.resolveRoute(e.Request)
 		if !ok {
-			w.refuseRequest(e.Request, refusal)
+			w.refuseRequest(e.Request, refusal, w.refusalRetryAfter(e.Request, refusal))
 			return
 		}
-		w.startRequest(e.Request, route)
+		services := w.selectServices(route)
+		if delay := w.restrictionDelay(e.Request, route, services); delay > 0 {
+			refusal := model.NewRefusal(model.ReasonRestricted, "the searchers take no more requests of this host for now")
+			w.refuseRequest(e.Request, refusal, delay)
+			return
+		}
+		w.startRequest(e.Request, route, services)
 	})
 }
 
+// selectServices returns the services that a request on the route is sent to.
+func (w *World) selectServices(route model.Route) []model.ServiceName {
+	if route.Sharded() {
+		return route.Shards
+	}
+	return []model.ServiceName{w.pickWeightedService(w.routeStatsRow(route), route)}
+}
+
 // resolveRoute returns the route of a request, or the refusal to send instead.
 func (w *World) resolveRoute(r Request) (model.Route, model.Refusal, bool) {
 	c := w.view.Configuration
@@ -49,36 +63,33 @@
 	return route, model.Refusal{}, true
 }
 
-// refuseRequest responds to a request that was not started.
-func (w *World) refuseRequest(r Request, refusal model.Refusal) {
-	after := notReadyRetryAfter
+// refusalRetryAfter returns the Retry-After of a request without a usable route.
+func (w *World) refusalRetryAfter(r Request, refusal model.Refusal) time.Duration {
 	if refusal.Reason == model.ReasonQuarantined {
-		after = w.refusedUntil(r.Fingerprint, w.findSuspect(r.Fingerprint)).Sub(w.Now())
+		return w.refusedUntil(r.Fingerprint, w.findSuspect(r.Fingerprint)).Sub(w.Now())
 	}
+	return notReadyRetryAfter
+}
+
+// refuseRequest responds to a request that was not started.
+func (w *World) refuseRequest(r Request, refusal model.Refusal, after time.Duration) {
 	w.Emit(Count{"refusal", string(refusal.Reason)})
 	w.log("request refused", "request", r.ID, "host", r.Host, "path", r.Path, "reason", refusal.Reason,
-		"detail", refusal.Detail, "version", w.view.Configuration.Version)
+		"detail", refusal.Detail, "version", w.view.Configuration.Version, "retryAfterMs", milliseconds(after))
 	w.Emit(Respond{Handle: r.Handle, Answer: newRefusedAnswer(refusal).WithRetryAfter(after)})
 }
 
-// startRequest adds a request and its parts and dispatches the parts. The parts
-// of a suspect are held until reviewLosses releases them.
-func (w *World) startRequest(q Request, route model.Route) {
+// startRequest adds a request with a part for each service and dispatches the parts.
+// The parts of a suspect are held until reviewLosses releases them.
+func (w *World) startRequest(q Request, route model.Route, services []model.ServiceName) {
 	id, _ := w.requests.Add(q.Handle)
-	timeout := route.Timeout
-	if q.Timeout > 0 && q.Timeout < timeout {
-		timeout = q.Timeout
-	}
 	r := request{
 		received: q, route: route, version: w.view.Configuration.Version, stats: w.routeStatsRow(route),
-		deadline: q.Arrived.Add(timeout),
+		deadline: q.deadline(route),
 	}
-	services := route.Shards
 	if route.Sharded() {
 		r.partialAt = q.Arrived.Add(partialAnswerDelay(q, route))
 		w.requestTimers.Add(r.partialAt, id)
-	} else {
-		services = []model.ServiceName{w.pickWeightedService(r.stats, route)}
 	}
 	w.requestTimers.Add(r.deadline, id)
 	for i, name := range services {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -8,24 +8,30 @@
 	"toucanpulley.example/internal/table"
 )
 
+// choice is the result of choosing a searcher for a part.
+type choice struct {
+	// searcher is the searcher to call if found is set.
+	searcher table.ID
+	found    bool
+	// busy is set if none was found and a usable searcher is full.
+	busy bool
+	// availableAt is the earliest time at which a searcher that restricts the calls of
+	// this host takes one; zero if there is no such searcher.
+	availableAt time.Time
+}
+
 // dispatch starts a call for an open part at the searcher of least expected cost.
-// The part is queued if all usable searchers are full, and missing if there is
-// no usable searcher.
+// The part is queued if all usable searchers are full, or if one takes a call soon,
+// and missing if there is no usable searcher.
 func (w *World) dispatch(row table.ID) {
 	p := w.part.Get(row)
 	r := w.request.Get(p.request)
-	best, busy, ok := w.pickSearcher(r, p)
+	c := w.chooseSearcher(r, p)
 	switch {
-	case !ok && busy:
-		w.service.Get(p.service).waiting.Push(r.route.Priority, row)
-		w.part.Set(row, p.withWaiting(true))
-		w.Emit(Count{"call", "waited"})
-	case !ok:
-		reason := p.missingReason
-		if reason == "" {
-			reason = model.MissingNoReplica
-		}
-		w.settlePart(row, p.withMissing(reason))
+	case !c.found && (c.busy || w.worthWaiting(r, c)):
+		w.queuePart(row, c)
+	case !c.found:
+		w.settlePart(row, p.withMissing(missingReason(p, c)))
 	case p.retryReason != "" && !w.service.Get(p.service).extraCalls.Spend(w.Now()):
 		w.Emit(Count{"retry", "budgetExhausted"})
 		w.settlePart(row, p.withMissing(model.MissingRetryBudget))
@@ -34,33 +40,63 @@
 			w.Emit(Count{"retry", string(p.retryReason)})
 			w.request.Set(p.request, r.withRetry())
 			w.log("part retried", "request", r.received.ID, "service", w.services.Key(p.service),
-				"searcher", w.searchers.Key(best), "reason", p.retryReason, "elapsedMs", milliseconds(w.Now().Sub(r.received.Arrived)))
+				"searcher", w.searchers.Key(c.searcher), "reason", p.retryReason, "elapsedMs", milliseconds(w.Now().Sub(r.received.Arrived)))
 		} else {
 			w.service.Get(p.service).extraCalls.Earn(w.Now())
 		}
-		w.startCall(row, best, false)
+		w.startCall(row, c.searcher, false)
+	}
+}
+
+// queuePart queues a part until a searcher of its service has capacity.
+func (w *World) queuePart(row table.ID, c choice) {
+	p := w.part.Get(row)
+	w.service.Get(p.service).waiting.Push(w.request.Get(p.request).route.Priority, row)
+	w.part.Set(row, p.withWaiting(true))
+	if !c.availableAt.IsZero() {
+		w.serviceTimers.Add(c.availableAt, p.service)
+	}
+	w.Emit(Count{"call", "waited"})
+}
+
+// missingReason returns the reason for a part without a searcher.
+func missingReason(p part, c choice) model.MissingReason {
+	switch {
+	case p.missingReason != "":
+		return p.missingReason
+	case !c.availableAt.IsZero():
+		return model.MissingRestricted
+	default:
+		return model.MissingNoReplica
 	}
 }
 
-// pickSearcher returns the searcher of least expected cost that the part has not
-// tried yet. Without one, busy reports whether a usable searcher is full.
-func (w *World) pickSearcher(r request, p part) (best table.ID, busy, ok bool) {
+// chooseSearcher returns the searcher of least expected cost that the part has not
+// tried yet and that takes a call now.
+func (w *World) chooseSearcher(r request, p part) choice {
 	median := w.routeStat.Get(r.stats).medianLatency()
 	minCost := time.Duration(0)
+	var c choice
 	for _, id := range w.service.Get(p.service).members {
 		s := w.searcher.Get(id)
 		if !s.usable() || slices.Contains(p.triedSearchers, id) {
 			continue
 		}
+		if at := s.availableAt(); w.Now().Before(at) {
+			if c.availableAt.IsZero() || at.Before(c.availableAt) {
+				c.availableAt = at
+			}
+			continue
+		}
 		if s.full() {
-			busy = true
+			c.busy = true
 			continue
 		}
-		if cost := w.expectedCost(s, median); !ok || cost < minCost {
-			best, minCost, ok = id, cost, true
+		if cost := w.expectedCost(s, median); !c.found || cost < minCost {
+			c.searcher, minCost, c.found = id, cost, true
 		}
 	}
-	return best, busy, ok
+	return c
 }
 
 // expectedCost returns the expected duration of a call to a searcher plus
@@ -116,9 +152,12 @@
 }
 
 // dispatchWaiting is the system that dispatches queued parts once a searcher has
-// capacity. A part that may not use any of the free searchers does not block the
+// capacity, or takes calls of this host again. A part that may not use any of the free searchers does not block the
 // parts behind it.
 func (w *World) dispatchWaiting() {
+	for row, due := w.serviceTimers.PopDue(w.Now()); due; row, due = w.serviceTimers.PopDue(w.Now()) {
+		w.changedServices = append(w.changedServices, row)
+	}
 	changed, freed := w.changedServices, w.freedServices
 	w.changedServices, w.freedServices = w.changedServices[:0], w.freedServices[:0]
 	for _, row := range changed {
@@ -140,7 +179,11 @@
 		if !w.parts.Has(id) || p.state != partOpen || !p.waiting {
 			return true, true
 		}
-		if _, busy, ok := w.pickSearcher(w.request.Get(p.request), p); !ok && busy {
+		c := w.chooseSearcher(w.request.Get(p.request), p)
+		if !c.availableAt.IsZero() {
+			w.serviceTimers.Add(c.availableAt, service)
+		}
+		if !c.found && (c.busy || !c.availableAt.IsZero()) {
 			return false, true
 		}
 		w.part.Set(id, p.withWaiting(false))
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -34,6 +34,14 @@
 	Message any
 }
 
+// deadline returns the latest time to answer the request.
+func (r Request) deadline(route model.Route) time.Time {
+	if r.Timeout > 0 && r.Timeout < route.Timeout {
+		return r.Arrived.Add(r.Timeout)
+	}
+	return r.Arrived.Add(route.Timeout)
+}
+
 // Reply is a searcher's response to a call.
 type Reply struct {
 	// Status is the status code set by the searcher, 100 to 599.
@@ -45,6 +53,9 @@
 	NotRun bool
 	// Misdirected is set if a different searcher now has the address.
 	Misdirected bool
+	// RetryAfter is how long the searcher takes no further calls from this host; zero
+	// if the reply does not say.
+	RetryAfter time.Duration
 	// Message holds the rest of the reply. It is opaque to the World.
 	Message any
 }
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -31,11 +31,13 @@
 	if p.attempts >= r.route.Attempts || !w.Now().Before(r.deadline) {
 		return
 	}
-	best, busy, ok := w.pickSearcher(r, p)
+	c := w.chooseSearcher(r, p)
 	switch {
-	case r.maybeCrashing(), !ok && busy:
+	case r.maybeCrashing(), !c.found && c.busy:
 		w.hedgeTimers.Add(w.Now().Add(hedgeRetryDelay), row)
-	case !ok:
+	case !c.found && !c.availableAt.IsZero():
+		w.hedgeTimers.Add(c.availableAt, row)
+	case !c.found:
 		w.Emit(Count{"hedge", "noReplica"})
 	case !w.service.Get(p.service).extraCalls.Spend(w.Now()):
 		w.Emit(Count{"hedge", "budgetExhausted"})
@@ -44,9 +46,9 @@
 	default:
 		w.Emit(Count{"hedge", "sent"})
 		w.log("second searcher asked", "request", r.received.ID, "service", w.services.Key(p.service),
-			"searcher", w.searchers.Key(best), "elapsedMs", milliseconds(w.Now().Sub(r.received.Arrived)))
+			"searcher", w.searchers.Key(c.searcher), "elapsedMs", milliseconds(w.Now().Sub(r.received.Arrived)))
 		w.request.Set(p.request, r.withHedge())
-		w.startCall(row, best, true)
+		w.startCall(row, c.searcher, true)
 	}
 }
 
@@ -116,6 +118,7 @@
 	model.MissingLost:        model.ReasonSearcherFailed,
 	model.MissingRefused:     model.ReasonSearcherFailed,
 	model.MissingNoReplica:   model.ReasonNoReplica,
+	model.MissingRestricted:  model.ReasonRestricted,
 }
 
 // failureReason returns the most frequent reason among the missing parts, or
@@ -141,7 +144,20 @@
 func (w *World) failureAnswer(r request) Answer {
 	reason := w.failureReason(r)
 	refusal := model.NewRefusal(reason, "%d of %d parts were answered, %d are required", r.answeredParts, len(r.parts), r.route.RequiredShards())
-	return newRefusedAnswer(refusal.WithExecution(r.execution())).WithRetryAfter(noReplicaRetryAfter)
+	after := noReplicaRetryAfter
+	if reason == model.ReasonRestricted {
+		after = max(after, w.restrictionDelay(r.received, r.route, w.servicesOf(r)))
+	}
+	return newRefusedAnswer(refusal.WithExecution(r.execution())).WithRetryAfter(after)
+}
+
+// servicesOf returns the services of a request's parts.
+func (w *World) servicesOf(r request) []model.ServiceName {
+	list := make([]model.ServiceName, 0, len(r.parts))
+	for _, row := range r.parts {
+		list = append(list, w.services.Key(w.part.Get(row).service))
+	}
+	return list
 }
 
 // expireRequests is the system that answers requests at their deadline, or at
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -32,6 +32,8 @@
 	unanswered map[Handle]bool
 	version    model.Revision
 	leaving    map[model.SearcherID]bool
+	// pausedUntil holds the ends of the pauses that searchers requested.
+	pausedUntil map[model.SearcherID]time.Time
 	// firstCalls and extraCalls hold the times of first and further calls to a service.
 	firstCalls, extraCalls map[model.ServiceName][]time.Time
 	called                 map[string]bool
@@ -48,7 +50,7 @@
 	o := &oracle{
 		t: t, World: NewWorld("host-1", "d1"), now: time.Unix(1000, 0), paths: map[Handle]string{},
 		running: map[CallID]StartCall{}, runs: map[model.RequestID]int{}, started: map[CallID]int{},
-		answers: map[Handle]int{}, unanswered: map[Handle]bool{}, leaving: map[model.SearcherID]bool{},
+		answers: map[Handle]int{}, unanswered: map[Handle]bool{}, leaving: map[model.SearcherID]bool{}, pausedUntil: map[model.SearcherID]time.Time{},
 		firstCalls: map[model.ServiceName][]time.Time{}, extraCalls: map[model.ServiceName][]time.Time{},
 		called: map[string]bool{}, services: map[CallID]model.ServiceName{}, shardSets: map[Handle][]model.ServiceName{},
 	}
@@ -130,8 +132,11 @@
 		case p.held || !p.waiting:
 			o.t.Fatalf("a part of %s has no call and is not queued (held: %t)", r.received.ID, p.held)
 		default:
-			if _, busy, ok := o.pickSearcher(r, p); ok || !busy {
-				o.t.Fatalf("a part of %s is queued: searcher with capacity: %t, busy searcher: %t", r.received.ID, ok, busy)
+			c := o.chooseSearcher(r, p)
+			wakes := !c.availableAt.IsZero() && !o.Next().IsZero() && !o.Next().After(c.availableAt)
+			if c.found || !c.busy && !wakes {
+				o.t.Fatalf("a part of %s is queued: searcher with capacity: %t, busy searcher: %t, wake-up for a paused one: %t",
+					r.received.ID, c.found, c.busy, wakes)
 			}
 		}
 	}
@@ -143,6 +148,9 @@
 	if o.leaving[c.Searcher.ID] {
 		o.t.Fatalf("call to searcher %s, which is leaving", c.Searcher.ID)
 	}
+	if until := o.pausedUntil[c.Searcher.ID]; o.now.Before(until) {
+		o.t.Fatalf("call to searcher %s, which requested a pause for another %v", c.Searcher.ID, until.Sub(o.now))
+	}
 	name := model.ServiceName(strings.Split(string(c.Searcher.ID), "/")[0])
 	o.services[c.Call] = name
 	key := string(c.Request) + string(name)
@@ -255,7 +263,16 @@
 		o.tick(Replied{Call: c.Call, Reply: Reply{Status: 421, Misdirected: true}})
 		return
 	}
-	o.tick(Replied{Call: c.Call, Reply: Reply{Status: 503, NotRun: true}})
+	pause := time.Duration(rapid.IntRange(0, 600).Draw(t, "pause")) * time.Millisecond
+	o.pausedUntil[c.Searcher.ID] = laterOf(o.pausedUntil[c.Searcher.ID], o.now.Add(pause))
+	o.tick(Replied{Call: c.Call, Reply: Reply{Status: 503, NotRun: true, RetryAfter: pause}})
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func (o *oracle) lose(t *rapid.T) {
@@ -333,8 +350,9 @@
 // replies, drains and new versions. It checks that each request has one answer,
 // that the parts of an answer are of one shard set and counted correctly, that a
 // request is reported as not run only if that is certain, that a request that is
-// not idempotent runs at most once, that leaving searchers get no calls, and that
-// extra calls stay within the retry budget.
+// not idempotent runs at most once, that leaving searchers get no calls, that
+// searchers that requested a pause get none until its end, and that extra calls
+// stay within the retry budget.
 func TestRelayUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := newOracle(t)
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -28,6 +28,7 @@
 	}
 	c := w.call.Get(id)
 	r := e.Reply
+	w.applyRestrictions(c, r)
 	switch {
 	case r.NotRun || r.Misdirected:
 		w.handleNotRun(id, c, r)
--- /dev/null
+++ b/internal/relay/restrict_test.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanpulley.example/internal/model"
+)
+
+// pause answers a call as a searcher does that turns it away and wants no further
+// calls for a while.
+func (l *lane) pause(c StartCall, d time.Duration) {
+	l.tick(Replied{Call: c.Call, Reply: Reply{Status: 503, NotRun: true, RetryAfter: d}})
+}
+
+// TestPausedSearcherGetsNoCalls guards against calls to a searcher that turned one
+// away and named the time for which it wants no others, also after its registration
+// was away for a moment.
+func TestPausedSearcherGetsNoCalls(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, nil)
+	l.advance(l.RetryBudget.RetryWindow)
+	l.submit("/all/a")
+	paused := l.last()
+	l.pause(paused, 2*time.Second)
+	fleet := l.view.Fleet
+	l.tick(ViewChanged{View: l.view.WithFleet(model.Fleet{Registrations: fleet.Registrations[1:], Revision: 2})})
+	l.tick(ViewChanged{View: l.view.WithFleet(fleet)})
+	first := len(l.sent)
+	for i := range 15 {
+		l.submit(fmt.Sprint("/all/", i))
+		l.reply(l.last(), record("a"))
+		l.advance(100 * time.Millisecond)
+	}
+	for _, c := range l.sent[first:] {
+		is.True(c.Searcher.ID != paused.Searcher.ID)
+	}
+	l.advance(time.Second)
+	for i := range 20 {
+		l.submit(fmt.Sprint("/all/later-", i)) // no replies: both searchers get calls
+	}
+	found := false
+	for _, c := range l.sent[first:] {
+		found = found || c.Searcher.ID == paused.Searcher.ID
+	}
+	is.True(found)
+}
+
+// TestRestrictedRequestIsRefusedAtOnce guards against keeping a request until its
+// deadline although all searchers want no calls for longer than its target latency,
+// and against sending the rest of a search that cannot reach its coverage.
+func TestRestrictedRequestIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	l := newLane(3, func(_ *View, r *model.Route) { r.MinCoverage = 1 })
+	l.advance(l.RetryBudget.RetryWindow)
+	l.submit("/all/a")
+	shard := l.sent[0].Searcher.ID[:len("shard-0")]
+	l.pause(l.sent[0], 700*time.Millisecond)
+	for _, c := range l.sent[1:] {
+		if c.Searcher.ID[:len("shard-0")] == shard {
+			l.pause(c, 900*time.Millisecond)
+		}
+	}
+	first := len(l.sent)
+	h := l.submit("/all/b")
+	is.Equal(len(l.sent), first)
+	is.Equal(l.answers[h].Refusal.Reason, model.ReasonRestricted)
+	is.Equal(l.answers[h].Refusal.Execution, model.NotRun)
+	is.Equal(l.answers[h].RetryAfter, 700*time.Millisecond)
+	l.advance(700 * time.Millisecond)
+	h = l.submit("/all/c")
+	is.Equal(len(l.sent), first+3) // served as soon as one searcher is back
+}
+
+// TestShortPauseIsWaitedFor guards against refusing a request that a paused searcher
+// can still answer within the target latency.
+func TestShortPauseIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, func(v *View, _ *model.Route) { v.Fleet.Registrations = v.Fleet.Registrations[:1] })
+	l.advance(l.RetryBudget.RetryWindow)
+	l.submit("/all/a")
+	l.pause(l.last(), 50*time.Millisecond)
+	h := l.submit("/all/b")
+	is.Equal(len(l.sent), 1)
+	l.advance(50 * time.Millisecond)
+	is.Equal(len(l.sent), 2)
+	l.reply(l.last(), record("a"))
+	is.Equal(l.answers[h].Kind, Merged)
+}
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -266,6 +266,8 @@
 	avoidUntil        time.Time
 	// warmUntil is the end of the searcher's warm-up after its start.
 	warmUntil time.Time
+	// pausedUntil is the time before which the searcher takes no calls from this host.
+	pausedUntil time.Time
 	// draining is set once the searcher must not get new calls: it is leaving, is
 	// no longer registered, or another searcher has its address.
 	draining bool
@@ -324,6 +326,22 @@
 	return s
 }
 
+// withPause returns the searcher with a pause requested by its reply.
+func (s searcher) withPause(until time.Time) searcher {
+	if until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+	return s
+}
+
+// availableAt returns the time from which the searcher takes another call from this
+// host, apart from the limits on calls in flight.
+func (s searcher) availableAt() time.Time { return s.pausedUntil }
+
+// restricted reports whether the searcher restricts the calls of this host beyond
+// the limits on calls in flight.
+func (s searcher) restricted(now time.Time) bool { return now.Before(s.pausedUntil) }
+
 func (s searcher) withDraining() searcher {
 	s.draining = true
 	return s
--- a/internal/relay/world.go
+++ b/internal/relay/world.go
@@ -114,6 +114,9 @@
 
 	view     View
 	lastCall CallID
+	// restrictedUntil is the time from which no searcher restricts the calls of this
+	// host.
+	restrictedUntil time.Time
 	// slackGranted is set once the retry slack has been granted.
 	slackGranted bool
 
@@ -146,6 +149,9 @@
 	hedgeTimers     *policy.Timers[table.ID]
 	requestTimers   *policy.Timers[table.ID]
 	cancelTimers    *policy.Timers[table.ID]
+	// serviceTimers holds the times at which a searcher of a service with queued parts
+	// takes calls again.
+	serviceTimers *policy.Timers[table.ID]
 }
 
 // NewWorld returns a world without requests or searchers.
@@ -157,6 +163,7 @@
 		searchers: table.New[model.SearcherID](), services: table.New[model.ServiceName](), routes: table.New[string](),
 		suspects: table.New[model.Fingerprint](), survivedAt: policy.NewLRU[model.Fingerprint, time.Time](maxSuspects),
 		hedgeTimers: policy.NewTimers[table.ID](), requestTimers: policy.NewTimers[table.ID](), cancelTimers: policy.NewTimers[table.ID](),
+		serviceTimers: policy.NewTimers[table.ID](),
 	}
 	w.request = table.NewColumn[request](w.requests)
 	w.part = table.NewColumn[part](w.parts)
@@ -179,6 +186,7 @@
 	w.WakeAt(w.hedgeTimers.Next(w.parts.Has))
 	w.WakeAt(w.requestTimers.Next(w.requests.Has))
 	w.WakeAt(w.cancelTimers.Next(w.calls.Has))
+	w.WakeAt(w.serviceTimers.Next(w.services.Has))
 }
 
 // Running returns the number of unanswered requests.
