relay: send no calls to a searcher that says in a reply that it is leaving

Cause: the header was not decoded, so that a host went on calling a leaving searcher while its registration said ready, as on a host cut off from the store. Evidence: TestSearcherThatSaysItLeavesGetsNoCalls; TestRelayUnderFaults with replies that say it.

--- a/internal/relay/apply.go
+++ b/internal/relay/apply.go
@@ -28,8 +28,7 @@
 }
 
 // updateSearchers updates the tables of searchers and services from the view. A
-// searcher that is no longer registered keeps its row until its calls have ended and
-// it no longer restricts them, because the registration may come back.
+// searcher that is no longer registered keeps its row until it is removable.
 func (w *World) updateSearchers() {
 	listed := make(map[model.SearcherID]bool, len(w.view.Fleet.Registrations))
 	byService := map[table.ID][]table.ID{}
@@ -55,7 +54,7 @@
 		if !s.draining {
 			w.log("searcher gone", "searcher", w.searchers.Key(id), "revision", w.view.Fleet.Revision)
 		}
-		if s.inFlight == 0 && !s.restricted(w.Now()) {
+		if s.removable(w.Now()) {
 			w.searchers.Remove(id)
 			continue
 		}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -56,6 +56,8 @@
 	// RetryAfter is how long the searcher takes no further calls from this host; zero
 	// if the reply does not say.
 	RetryAfter time.Duration
+	// Leaving is set if the searcher reports that it is leaving.
+	Leaving bool
 	// Message holds the rest of the reply. It is opaque to the World.
 	Message any
 }
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -32,8 +32,10 @@
 	unanswered map[Handle]bool
 	version    model.Revision
 	leaving    map[model.SearcherID]bool
-	// pausedUntil holds the ends of the pauses that searchers requested.
+	// pausedUntil holds the ends of the pauses that searchers requested, saidLeaving
+	// those that reported in a reply that they are leaving.
 	pausedUntil map[model.SearcherID]time.Time
+	saidLeaving map[model.SearcherID]bool
 	// firstCalls and extraCalls hold the times of first and further calls to a service.
 	firstCalls, extraCalls map[model.ServiceName][]time.Time
 	called                 map[string]bool
@@ -51,7 +53,8 @@
 		t: t, World: NewWorld("host-1", "d1"), now: time.Unix(1000, 0), paths: map[Handle]string{},
 		running: map[CallID]StartCall{}, runs: map[model.RequestID]int{}, started: map[CallID]int{},
 		answers: map[Handle]int{}, unanswered: map[Handle]bool{}, leaving: map[model.SearcherID]bool{}, pausedUntil: map[model.SearcherID]time.Time{},
-		firstCalls: map[model.ServiceName][]time.Time{}, extraCalls: map[model.ServiceName][]time.Time{},
+		saidLeaving: map[model.SearcherID]bool{},
+		firstCalls:  map[model.ServiceName][]time.Time{}, extraCalls: map[model.ServiceName][]time.Time{},
 		called: map[string]bool{}, services: map[CallID]model.ServiceName{}, shardSets: map[Handle][]model.ServiceName{},
 	}
 	o.RetryBudget = RetryBudget{RetryShare: 0.2, RetrySlack: fuzzSlack, RetryWindow: 10 * time.Second}
@@ -145,7 +148,7 @@
 func (o *oracle) checkCall(c StartCall) {
 	o.running[c.Call] = c
 	o.runs[c.Request]++
-	if o.leaving[c.Searcher.ID] {
+	if o.leaving[c.Searcher.ID] || o.saidLeaving[c.Searcher.ID] {
 		o.t.Fatalf("call to searcher %s, which is leaving", c.Searcher.ID)
 	}
 	if until := o.pausedUntil[c.Searcher.ID]; o.now.Before(until) {
@@ -250,8 +253,10 @@
 
 func (o *oracle) reply(t *rapid.T) {
 	c := o.takeCall(t)
+	leaving := rapid.IntRange(0, 15).Draw(t, "leaving") == 15
+	o.saidLeaving[c.Searcher.ID] = o.saidLeaving[c.Searcher.ID] || leaving
 	o.tick(Replied{Call: c.Call, Reply: Reply{
-		Status: 200, Signature: string(c.Request) + ":" + string(o.services[c.Call]), Body: []byte(record("a")),
+		Status: 200, Signature: string(c.Request) + ":" + string(o.services[c.Call]), Body: []byte(record("a")), Leaving: leaving,
 	}})
 }
 
--- a/internal/relay/restrict.go
+++ b/internal/relay/restrict.go
@@ -12,11 +12,34 @@
 // does not take it out of use for good.
 const maxPause = 5 * time.Minute
 
+// leavingRetention is how long a searcher that has reported in a reply that it is
+// leaving is remembered while it is not registered. Registrations that lapsed in an
+// outage of the platform are back within seconds of its end.
+const leavingRetention = time.Minute
+
 // applyRestrictions applies what a reply says about further calls to its searcher.
 func (w *World) applyRestrictions(c call, r Reply) {
-	if r.RetryAfter <= 0 {
-		return
+	if r.Leaving && !w.searcher.Get(c.searcher).saidLeaving {
+		w.applyLeaving(c)
+	}
+	if r.RetryAfter > 0 {
+		w.applyPause(c, r)
 	}
+}
+
+// applyLeaving takes a searcher out of use that has reported that it is leaving.
+func (w *World) applyLeaving(c call) {
+	s := w.searcher.Get(c.searcher).withSaidLeaving(w.Now().Add(leavingRetention))
+	w.searcher.Set(c.searcher, s)
+	w.changedServices = append(w.changedServices, s.service)
+	w.planConnections()
+	w.Emit(Count{"searcher", "saidLeaving"})
+	w.log("searcher reported that it is leaving", "request", c.request, "searcher", w.searchers.Key(c.searcher),
+		"registeredAsLeaving", s.registration.Searcher.Leaving)
+}
+
+// applyPause keeps further calls from a searcher for the time that it named.
+func (w *World) applyPause(c call, r Reply) {
 	until := w.Now().Add(min(r.RetryAfter, maxPause))
 	w.searcher.Set(c.searcher, w.searcher.Get(c.searcher).withPause(until))
 	if until.After(w.restrictedUntil) {
--- a/internal/relay/restrict_test.go
+++ b/internal/relay/restrict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,34 @@
 	is.True(found)
 }
 
+// TestSearcherThatSaysItLeavesGetsNoCalls guards against calls to a searcher that has
+// told this host in a reply that it is leaving while its registration still says
+// that it is ready, also after the registration was away for a moment.
+func TestSearcherThatSaysItLeavesGetsNoCalls(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, nil)
+	l.submit("/all/a")
+	leaving := l.last()
+	l.tick(Replied{Call: leaving.Call, Reply: Reply{Status: 200, Signature: "s", Body: []byte(record("a")), Leaving: true}})
+	fleet := l.view.Fleet
+	l.tick(ViewChanged{View: l.view.WithFleet(fleet)})
+	l.tick(ViewChanged{View: l.view.WithFleet(model.Fleet{Registrations: fleet.Registrations[1:], Revision: 2})})
+	l.tick(ViewChanged{View: l.view.WithFleet(fleet)})
+	l.advance(10 * time.Second)
+	for i := range 20 {
+		l.submit(fmt.Sprint("/all/", i))
+	}
+	is.True(len(l.sent) > 1)
+	for _, c := range l.sent[1:] {
+		is.True(c.Searcher.ID != leaving.Searcher.ID)
+	}
+	restarted := slices.Clone(fleet.Registrations)
+	restarted[0].StartMillis++
+	l.tick(ViewChanged{View: l.view.WithFleet(model.Fleet{Registrations: restarted, Revision: 3})})
+	id, _ := l.searchers.Find(leaving.Searcher.ID)
+	is.True(l.searcher.Get(id).usable()) // another start of the searcher
+}
+
 // TestRestrictedRequestIsRefusedAtOnce guards against keeping a request until its
 // deadline although all searchers want no calls for longer than its target latency,
 // and against sending the rest of a search that cannot reach its coverage.
@@ -71,7 +100,7 @@
 	is.Equal(l.answers[h].Refusal.Execution, model.NotRun)
 	is.Equal(l.answers[h].RetryAfter, 700*time.Millisecond)
 	l.advance(700 * time.Millisecond)
-	h = l.submit("/all/c")
+	l.submit("/all/c")
 	is.Equal(len(l.sent), first+3) // served as soon as one searcher is back
 }
 
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -268,6 +268,11 @@
 	warmUntil time.Time
 	// pausedUntil is the time before which the searcher takes no calls from this host.
 	pausedUntil time.Time
+	// saidLeaving is set once a reply has reported that the searcher is leaving, which
+	// its registration may not say. The row is kept until keepUntil, even if the
+	// searcher is no longer registered.
+	saidLeaving bool
+	keepUntil   time.Time
 	// draining is set once the searcher must not get new calls: it is leaving, is
 	// no longer registered, or another searcher has its address.
 	draining bool
@@ -338,9 +343,18 @@
 // host, apart from the limits on calls in flight.
 func (s searcher) availableAt() time.Time { return s.pausedUntil }
 
-// restricted reports whether the searcher restricts the calls of this host beyond
-// the limits on calls in flight.
-func (s searcher) restricted(now time.Time) bool { return now.Before(s.pausedUntil) }
+// withSaidLeaving returns the searcher after a reply that reports that it is leaving.
+func (s searcher) withSaidLeaving(keepUntil time.Time) searcher {
+	s.saidLeaving, s.draining, s.keepUntil = true, true, keepUntil
+	return s
+}
+
+// removable reports whether the row of a searcher that is no longer registered can
+// be removed. What its replies said must outlast a registration that is away for a
+// moment.
+func (s searcher) removable(now time.Time) bool {
+	return s.inFlight == 0 && !now.Before(s.pausedUntil) && !now.Before(s.keepUntil)
+}
 
 func (s searcher) withDraining() searcher {
 	s.draining = true
@@ -353,7 +367,7 @@
 	if !s.registration.SameStart(r) {
 		s = searcher{service: s.service, inFlight: s.inFlight, latencyRatio: 1, sampledAt: now, warmUntil: now.Add(r.WarmUp)}
 	}
-	s.registration, s.local, s.draining = r, local, r.Searcher.Leaving
+	s.registration, s.local, s.draining = r, local, r.Searcher.Leaving || s.saidLeaving
 	return s
 }
 
