relay: wake the queued parts of a service at the end of a pause

Cause: a part that was queued while its only searcher was full got no timer when that searcher requested a pause, and was dispatched only once another call ended. Change: the pause itself sets the timer of its service.

--- a/internal/relay/restrict.go
+++ b/internal/relay/restrict.go
@@ -41,7 +41,9 @@
 // applyPause keeps further calls from a searcher for the time that it named.
 func (w *World) applyPause(c call, r Reply) {
 	until := w.Now().Add(min(r.RetryAfter, maxPause))
-	w.searcher.Set(c.searcher, w.searcher.Get(c.searcher).withPause(until))
+	s := w.searcher.Get(c.searcher).withPause(until)
+	w.searcher.Set(c.searcher, s)
+	w.serviceTimers.Add(until, s.service) // parts that were queued while the searcher was full
 	if until.After(w.restrictedUntil) {
 		w.restrictedUntil = until
 	}
