conns: bound the bytes that a searcher may send for one call

Cause: only the body of a reply had a limit, of 8 MB; heads, interim replies and replies to other requests were read for as long as they came. Change: a connection reads at most 1 MB for one call, of whatever kind; then the call fails as truncated and the connection is closed.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"time"
@@ -11,14 +12,37 @@
 	"toucanpulley.example/internal/relay"
 )
 
-var errUnexpectedData = errors.New("unexpected data on an idle connection")
+var (
+	errUnexpectedData = errors.New("unexpected data on an idle connection")
+	errReplyTooLarge  = fmt.Errorf("the searcher sent more than %d bytes for one call", MaxReplyBytes)
+)
+
+// replyLimiter fails once MaxReplyBytes have been read since the last reset.
+type replyLimiter struct {
+	source io.Reader
+	left   int
+}
+
+func (r *replyLimiter) reset() { r.left = MaxReplyBytes }
+
+// Read implements io.Reader.
+func (r *replyLimiter) Read(to []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errReplyTooLarge
+	}
+	n, err := r.source.Read(to[:min(len(to), r.left)])
+	r.left -= n
+	return n, err
+}
 
 // conn is a connection and the goroutine that reads from it. The mutex of the pool
-// guards all fields except socket and reader.
+// guards all fields except socket, limiter and reader.
 type conn struct {
-	pool        *Pool
-	backend     *backend
-	socket      net.Conn
+	pool    *Pool
+	backend *backend
+	socket  net.Conn
+	// limiter is reset after each reply that ended a call.
+	limiter     *replyLimiter
 	reader      *bufio.Reader
 	call        *activeCall
 	lastUsed    time.Time
@@ -41,8 +65,9 @@
 			return
 		}
 		p.OnOpened(searcher.ID)
+		limiter := &replyLimiter{source: socket, left: MaxReplyBytes}
 		c := &conn{
-			pool: p, backend: b, socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes),
+			pool: p, backend: b, socket: socket, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
 			idleTimeout: p.IdleTime, lastUsed: time.Now(), counted: true,
 		}
 		if a, ok := p.nextCall(c); ok {
@@ -174,7 +199,11 @@
 			err = errUnexpectedData
 		}
 		if err != nil {
-			c.closeWithError(a, model.FailureLost, err)
+			failure := model.FailureLost
+			if errors.Is(err, errReplyTooLarge) {
+				failure = model.FailureTruncated
+			}
+			c.closeWithError(a, failure, err)
 			return
 		}
 		result, err := c.pool.codec.Read(c.reader, a.start)
@@ -188,6 +217,7 @@
 		if result.RequestID != "" && result.RequestID != a.start.Request && result.Reusable {
 			continue // late reply to an earlier request; the reply to this call follows
 		}
+		c.limiter.reset()
 		if !c.deliver(a, result) {
 			return
 		}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -59,6 +59,10 @@
 	// inlineWriteBytes is the largest message that Start writes itself. It fits into
 	// the send buffer of an idle connection, so the write cannot block.
 	inlineWriteBytes = 8 << 10
+	// MaxReplyBytes bounds the bytes that are read for one call: head and body of the
+	// reply, and interim and late replies before it. A host has some hundred connections
+	// and less than 300 MB, and a faulty searcher may send without end.
+	MaxReplyBytes = 1 << 20
 	// readBufferBytes is the size of a connection's read buffer; most replies are
 	// smaller.
 	readBufferBytes = 2 << 10
