relay: one wake-up timer for each service, queue estimates over all limited searchers

Found by TestHostsKeepTheLimitOfASearcher with a shorter warm-up: the test took 9 GB and did not end. Change: a service has one pending wake-up. TestQueuedPartsShareOneTimer failed before.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -16,10 +16,19 @@
 	// busy is set if none was found and a usable searcher is full.
 	busy bool
 	// availableAt is the earliest time at which a searcher that restricts the calls of
-	// this host takes one; zero if there is no such searcher. interval is the time
-	// between two calls that it takes; zero if it takes any number from then on.
+	// this host takes one; zero if there is no such searcher.
 	availableAt time.Time
-	interval    time.Duration
+	// callsPerSecond is the number of calls that these searchers together take from
+	// then on; infinite if one of them has no limit.
+	callsPerSecond float64
+}
+
+// interval returns the time between two calls that the restricted searchers take.
+func (c choice) interval() time.Duration {
+	if c.callsPerSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / c.callsPerSecond)
 }
 
 // dispatch starts a call for an open part at the searcher of least expected cost.
@@ -55,12 +64,22 @@
 	p := w.part.Get(row)
 	w.service.Get(p.service).waiting.Push(w.request.Get(p.request).route.Priority, row)
 	w.part.Set(row, p.withWaiting(true))
-	if !c.availableAt.IsZero() {
-		w.serviceTimers.Add(c.availableAt, p.service)
-	}
+	w.wakeService(p.service, c.availableAt)
 	w.Emit(Count{"call", "waited"})
 }
 
+// wakeService dispatches the queued parts of a service at the given time, if it is not
+// zero, unless it does so earlier anyway. A timer for each part and sweep would
+// multiply them.
+func (w *World) wakeService(row table.ID, at time.Time) {
+	s := w.service.Get(row)
+	if pending := w.Now().Before(s.wakeAt); at.IsZero() || pending && !at.Before(s.wakeAt) {
+		return
+	}
+	w.service.Set(row, s.withWakeAt(at))
+	w.serviceTimers.Add(at, row)
+}
+
 // missingReason returns the reason for a part without a searcher.
 func missingReason(p part, c choice) model.MissingReason {
 	switch {
@@ -86,8 +105,9 @@
 		}
 		if at := s.availableAt(w.Now()); w.Now().Before(at) {
 			if c.availableAt.IsZero() || at.Before(c.availableAt) {
-				c.availableAt, c.interval = at, s.callInterval()
+				c.availableAt = at
 			}
+			c.callsPerSecond += s.callsPerSecond()
 			continue
 		}
 		if s.full() {
@@ -182,9 +202,7 @@
 			return true, true
 		}
 		c := w.chooseSearcher(w.request.Get(p.request), p)
-		if !c.availableAt.IsZero() {
-			w.serviceTimers.Add(c.availableAt, service)
-		}
+		w.wakeService(service, c.availableAt)
 		if !c.found && (c.busy || !c.availableAt.IsZero()) {
 			return false, true
 		}
--- a/internal/relay/restrict.go
+++ b/internal/relay/restrict.go
@@ -20,9 +20,11 @@
 	// remembered while the searcher is not registered. Registrations that lapsed in an
 	// outage of the platform are back within seconds of its end.
 	replyRetention = time.Minute
-	// minRateLimit replaces lower limits, in calls per second of all hosts. Without any
-	// calls, no reply could tell that a limit has ended.
+	// minRateLimit and maxRateLimit bound the limits, in calls per second of all hosts.
+	// Without any calls, no reply could tell that a limit has ended; no searcher takes
+	// more than the maximum.
 	minRateLimit = 0.1
+	maxRateLimit = 1e6
 	// limitProbeShare is the fraction of a limit that the hosts without a part in it
 	// divide. Their few calls tell them when the limit ends.
 	limitProbeShare = 0.1
@@ -68,7 +70,7 @@
 	s := w.searcher.Get(c.searcher).withPause(until)
 	w.searcher.Set(c.searcher, s)
 	w.extendRestriction(until)
-	w.serviceTimers.Add(until, s.service) // parts that were queued while the searcher was full
+	w.wakeService(s.service, until) // parts that were queued while the searcher was full
 	w.Emit(Count{"searcher", "paused"})
 	w.log("searcher requested a pause", "request", c.request, "searcher", w.searchers.Key(c.searcher),
 		"status", r.Status, "pauseMs", milliseconds(r.RetryAfter))
@@ -109,7 +111,7 @@
 // to the limit without messages, also while hosts restart or cannot reach each other.
 // The greater part goes to at most so many hosts that each may make one call at once.
 func (w *World) limitPace(id table.ID, s searcher, limit float64) policy.Pace {
-	limit = max(limit, minRateLimit)
+	limit = min(max(limit, minRateLimit), maxRateLimit)
 	burst := limit + limitBurst
 	holders := w.limitHolders(id, int(burst))
 	rate, hosts := limit*(1-limitProbeShare), float64(len(holders))
@@ -167,7 +169,7 @@
 // turn returns the time at which a restricted service takes another call, after the
 // parts that are queued already.
 func (w *World) turn(service table.ID, c choice) time.Time {
-	return c.availableAt.Add(time.Duration(w.service.Get(service).waiting.Len()) * c.interval)
+	return c.availableAt.Add(time.Duration(w.service.Get(service).waiting.Len()) * c.interval())
 }
 
 // latestStart returns the time by which a call must start for an answer within the
@@ -204,7 +206,7 @@
 		row := w.serviceRow(name)
 		c := w.chooseSearcher(request{stats: stats}, part{service: row})
 		if turn := w.turn(row, c); !c.found && !c.busy && !turn.Before(latest) && !c.availableAt.IsZero() {
-			list = append(list, restriction{row, turn, c.interval})
+			list = append(list, restriction{row, turn, c.interval()})
 		}
 	}
 	missing := required - (len(services) - len(list))
--- a/internal/relay/restrict_test.go
+++ b/internal/relay/restrict_test.go
@@ -119,3 +119,74 @@
 	l.reply(l.last(), record("a"))
 	is.Equal(l.answers[h].Kind, Merged)
 }
+
+// onlyHost makes a view with one searcher whose only host is that of the lane.
+func onlyHost(v *View, _ *model.Route) {
+	v.Fleet.Registrations = v.Fleet.Registrations[:1]
+	v.LargeShareHosts = []model.Member{{Host: model.Host{ID: "host-1"}}}
+}
+
+// TestExtremeLimits guards against a limit of nothing that never ends because no call
+// is made, and against a huge one that overflows and stops all calls.
+func TestExtremeLimits(t *testing.T) {
+	for _, c := range []struct {
+		limit float64
+		calls int
+	}{{0, 1}, {1e300, 100}} {
+		t.Run(fmt.Sprint(c.limit, " a second"), func(t *testing.T) {
+			is := is.New(t)
+			l := newLane(1, onlyHost)
+			reply := Reply{Status: 200, Signature: "s", Body: []byte(record("a")), RateLimited: true, RateLimit: c.limit}
+			l.submit("/all/first")
+			l.tick(Replied{Call: l.last().Call, Reply: reply})
+			for range 100 {
+				l.advance(200 * time.Millisecond)
+				first := len(l.sent)
+				l.submit("/all/x")
+				for _, call := range l.sent[first:] {
+					l.tick(Replied{Call: call.Call, Reply: reply})
+				}
+			}
+			is.True(len(l.sent)-1 >= c.calls)
+			is.True(len(l.sent)-1 <= max(3, 100*c.calls))
+		})
+	}
+}
+
+// TestRefusedCallersReturnOneAfterTheOther guards against callers that are told to
+// return at the same time although their searcher takes them one by one.
+func TestRefusedCallersReturnOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, onlyHost)
+	l.submit("/all/first")
+	l.tick(Replied{Call: l.last().Call, Reply: Reply{
+		Status: 200, Signature: "s", Body: []byte(record("a")), RateLimited: true, RateLimit: 4,
+	}})
+	var last time.Duration
+	for range 3 {
+		a := l.answers[l.submit("/all/x")]
+		is.Equal(a.Refusal.Reason, model.ReasonRestricted)
+		is.True(a.RetryAfter > last)
+		last = a.RetryAfter
+	}
+	is.True(last <= time.Second) // the route's timeout
+}
+
+// TestQueuedPartsShareOneTimer guards against timers that multiply with each sweep over
+// the queued parts of a service, which took all memory within seconds.
+func TestQueuedPartsShareOneTimer(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, func(v *View, r *model.Route) {
+		onlyHost(v, r)
+		r.TargetLatency = time.Second
+	})
+	reply := Reply{Status: 200, Signature: "s", Body: []byte(record("a")), RateLimited: true, RateLimit: 20}
+	l.submit("/all/first")
+	l.tick(Replied{Call: l.last().Call, Reply: reply})
+	for i := range 100 {
+		l.submit(fmt.Sprint("/all/", i))
+		l.advance(20 * time.Millisecond)
+		is.True(l.serviceTimers.Len() <= 2)
+	}
+	is.True(len(l.sent) > 20)
+}
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -254,6 +254,8 @@
 	// nextReturn is the time at which the next caller that is refused because of a
 	// limit should return.
 	nextReturn time.Time
+	// wakeAt is the time of the next timer that dispatches the queued parts.
+	wakeAt time.Time
 }
 
 func (s service) withMembers(members []table.ID) service {
@@ -261,6 +263,11 @@
 	return s
 }
 
+func (s service) withWakeAt(at time.Time) service {
+	s.wakeAt = at
+	return s
+}
+
 func (s service) withNextReturn(at time.Time) service {
 	s.nextReturn = at
 	return s
--- a/internal/relay/searcher.go
+++ b/internal/relay/searcher.go
@@ -142,13 +142,13 @@
 	return s.pausedUntil
 }
 
-// callInterval returns the time between two calls that the searcher takes from this
-// host; zero without a limit.
-func (s searcher) callInterval() time.Duration {
+// callsPerSecond returns the number of calls that the searcher takes from this host;
+// infinite without a limit.
+func (s searcher) callsPerSecond() float64 {
 	if !s.rateLimited {
-		return 0
+		return math.Inf(1)
 	}
-	return s.pace.Interval
+	return 1 / s.pace.Interval.Seconds()
 }
 
 // withSaidLeaving returns the searcher after a reply that reports that it is leaving.
