--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -174,8 +174,8 @@
 }
 
 // dispatchWaiting is the system that dispatches queued parts once a searcher has
-// capacity, or takes calls of this host again. A part that may not use any of the free searchers does not block the
-// parts behind it.
+// capacity, or takes calls of this host again. A part that may not use any of the
+// free searchers does not block the parts behind it.
 func (w *World) dispatchWaiting() {
 	for row, due := w.serviceTimers.PopDue(w.Now()); due; row, due = w.serviceTimers.PopDue(w.Now()) {
 		w.changedServices = append(w.changedServices, row)
