--- a/internal/ctrl/relay_test.go
+++ b/internal/ctrl/relay_test.go
@@ -43,6 +43,17 @@
 	n.pushed = nil
 }
 
+// newRelayPair returns two hosts that know each other.
+func newRelayPair(at time.Time) (a, b *relayNode) {
+	a, b = newRelayNode("a"), newRelayNode("b")
+	a.tick(at)
+	b.tick(at)
+	a.tick(at, ctrl.Pushed{Gossip: ctrl.Gossip{Sender: b.Member.Self()}})
+	b.tick(at, ctrl.Pushed{Gossip: ctrl.Gossip{Sender: a.Member.Self()}})
+	a.pushed, b.pushed = nil, nil
+	return a, b
+}
+
 // Guards against a request that crashes searchers but is a suspect only on the
 // host that lost them, and against an entry whose expiry is extended by each host
 // that receives it.
@@ -78,11 +89,7 @@
 func TestLossesOfAllHostsAddUp(t *testing.T) {
 	is := is.New(t)
 	at := time.Unix(1000, 0)
-	a, b := newRelayNode("a"), newRelayNode("b")
-	a.tick(at)
-	b.tick(at)
-	a.tick(at, ctrl.Pushed{Gossip: ctrl.Gossip{Sender: b.Member.Self()}})
-	b.tick(at, ctrl.Pushed{Gossip: ctrl.Gossip{Sender: a.Member.Self()}})
+	a, b := newRelayPair(at)
 	a.tick(at, ctrl.LossReported{Fingerprint: 7, Losses: 1})
 	b.tick(at, ctrl.LossReported{Fingerprint: 7, Losses: 2})
 	for range 3 {
@@ -99,12 +106,7 @@
 func TestSurvivalClearsLossesOnAllHosts(t *testing.T) {
 	is := is.New(t)
 	at := time.Unix(1000, 0)
-	a, b := newRelayNode("a"), newRelayNode("b")
-	a.tick(at)
-	b.tick(at)
-	a.tick(at, ctrl.Pushed{Gossip: ctrl.Gossip{Sender: b.Member.Self()}})
-	b.tick(at, ctrl.Pushed{Gossip: ctrl.Gossip{Sender: a.Member.Self()}})
-	a.pushed, b.pushed = nil, nil
+	a, b := newRelayPair(at)
 	a.tick(at, ctrl.LossReported{Fingerprint: 7, Losses: 3})
 	late := a.pushed
 	a.deliver(at, b)
--- /dev/null
+++ b/internal/ctrl/relayfleet_test.go
@@ -0,0 +1,290 @@
+package ctrl_test
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"toucanpulley.example/internal/ctrl"
+	"toucanpulley.example/internal/feed"
+	"toucanpulley.example/internal/member"
+	"toucanpulley.example/internal/model"
+	"toucanpulley.example/internal/relay"
+)
+
+const (
+	peerDelay = 5 * time.Millisecond
+	// warmUp is the time in which all hosts join and get the retry slack.
+	warmUp   = 12 * time.Second
+	workTime = 20 * time.Millisecond
+)
+
+// relayFleet runs the control world and the lane of several hosts on a simulated
+// clock.
+type relayFleet struct {
+	now    time.Time
+	queue  eventQueue
+	seq    int
+	random *rand.Rand
+	hosts  []*relayHost
+	byHost map[model.HostID]*relayHost
+	seeds  []model.Address
+
+	configuration model.Configuration
+	registrations []model.Registration
+	// outcome returns the event that ends a call, or nil for a call that gets no
+	// reply.
+	outcome func(relay.StartCall) relay.Event
+	// onCall is called for each call.
+	onCall func(*relayHost, relay.StartCall)
+	// called holds the times of the calls of each request.
+	called map[model.RequestID][]time.Time
+	ended  []time.Time
+	// partitioned hosts receive no messages of peers.
+	partitioned bool
+}
+
+// relayHost is one process of a host.
+type relayHost struct {
+	fleet     *relayFleet
+	host      model.Host
+	control   *ctrl.Relay
+	lane      *relay.World
+	cancelled map[relay.CallID]bool
+	answers   map[uint64]func(ctrl.Command)
+	lastID    uint64
+	handle    relay.Handle
+	// stopped is set once another process has replaced this one. A frozen process
+	// handles its events at frozenUntil.
+	stopped     bool
+	frozenUntil time.Time
+	answered    int
+}
+
+func newRelayFleet(hosts int, route model.Route, budget relay.RetryBudget) *relayFleet {
+	f := &relayFleet{
+		now: epoch, random: rand.New(rand.NewPCG(1, 2)), byHost: map[model.HostID]*relayHost{},
+		called: map[model.RequestID][]time.Time{}, onCall: func(*relayHost, relay.StartCall) {},
+	}
+	route.Name, route.Host, route.Prefix = "r", "h", "/"
+	services := map[model.ServiceName]bool{}
+	for _, s := range route.Shards {
+		services[s] = true
+	}
+	for _, s := range route.Shares {
+		services[s.Service] = true
+	}
+	var settings []model.Service
+	for name := range services {
+		settings = append(settings, model.Service{Name: name, ConnectionCap: 1000})
+		for i := range 4 {
+			id := fmt.Sprint(name, "/", i)
+			f.registrations = append(f.registrations, model.Registration{
+				Service: name, StartMillis: 1, Revision: 1,
+				Searcher: model.Searcher{ID: model.SearcherID(id), Address: model.Address(id), FailureDomain: "d1", Slots: 2},
+			})
+		}
+	}
+	f.configuration = model.NewConfiguration(1, []model.Route{route}, settings, model.Limits{})
+	for i := range hosts {
+		id := fmt.Sprintf("host-%03d", i)
+		h := model.Host{ID: model.HostID(id), Peer: model.Address(id), Entry: model.Address(id), FailureDomain: "d1", Capacity: 400}
+		if i < 3 {
+			f.seeds = append(f.seeds, h.Peer)
+		}
+		f.start(h, budget)
+	}
+	f.run(warmUp)
+	return f
+}
+
+func (f *relayFleet) start(host model.Host, budget relay.RetryBudget) {
+	h := &relayHost{
+		fleet: f, host: host, control: ctrl.NewRelay(host, uint64(f.now.UnixMilli())), lane: relay.NewWorld(host.ID, host.FailureDomain),
+		cancelled: map[relay.CallID]bool{}, answers: map[uint64]func(ctrl.Command){},
+	}
+	if old, ok := f.byHost[host.ID]; ok {
+		old.stopped = true
+	}
+	h.lane.RetryBudget = budget
+	h.control.Member.Seeds, h.control.Seed = f.seeds, true
+	f.hosts = append(f.hosts, h)
+	f.byHost[host.ID] = h
+	f.after(0, func() { h.tick(ctrl.FeedEvent{}) })
+}
+
+func (f *relayFleet) after(d time.Duration, run func()) {
+	f.seq++
+	heap.Push(&f.queue, timedEvent{at: f.now.Add(d), seq: f.seq, run: run})
+}
+
+// run advances the clock and runs the events that are due.
+func (f *relayFleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(timedEvent)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+// tick runs the control world and delivers its messages.
+func (h *relayHost) tick(events ...ctrl.Event) {
+	f := h.fleet
+	if h.deferred(func() { h.tick(events...) }) {
+		return
+	}
+	for _, c := range h.control.Tick(f.now, events) {
+		switch c := c.(type) {
+		case ctrl.PublishRelay:
+			h.tickLane(relay.ViewChanged{View: c.View})
+		case ctrl.PushTo:
+			h.sendTo(c.Peer.ID, func(to *relayHost) { to.tick(ctrl.Pushed{Gossip: c.Gossip}) })
+		case ctrl.SendProbe:
+			h.sendTo(c.To.ID, func(to *relayHost) {
+				id := to.expect(func(a ctrl.Command) {
+					if p, ok := a.(ctrl.AnswerProbe); ok {
+						to.sendTo(h.host.ID, func(*relayHost) { h.tick(ctrl.Acked{ID: c.ID, Reached: p.Reached, Gossip: p.Gossip}) })
+					}
+				})
+				to.tick(ctrl.Probed{ID: id, Target: c.Target, Gossip: c.Gossip})
+			})
+		case ctrl.FetchMembers:
+			h.sendTo(model.HostID(c.From.Peer), func(to *relayHost) {
+				id := to.expect(func(a ctrl.Command) {
+					if m, ok := a.(ctrl.AnswerMembers); ok {
+						to.sendTo(h.host.ID, func(*relayHost) {
+							h.tick(ctrl.MemberEvent{Event: member.MembersReceived{From: to.host.ID, Members: m.Members}})
+						})
+					}
+				})
+				to.tick(ctrl.MemberEvent{Event: member.MembersRequested{ID: id, From: c.Self}})
+			})
+		case ctrl.AnswerProbe:
+			h.answer(c.ID, c)
+		case ctrl.AnswerMembers:
+			h.answer(c.ID, c)
+		case ctrl.FeedCommand:
+			h.readStore(c.Command)
+		}
+	}
+	if next := h.control.Next(); !next.IsZero() {
+		f.after(max(next.Sub(f.now), time.Millisecond), func() {
+			if due := h.control.Next(); !due.IsZero() && !f.now.Before(due) {
+				h.tick()
+			}
+		})
+	}
+}
+
+// deferred reports whether a process does not handle an event now: never once it has
+// stopped, and later while it is frozen.
+func (h *relayHost) deferred(again func()) bool {
+	if frozen := h.frozenUntil.Sub(h.fleet.now); !h.stopped && frozen > 0 {
+		h.fleet.after(frozen, again)
+		return true
+	}
+	return h.stopped
+}
+
+// expect returns an id for a question to this host and registers the receiver of
+// its answer.
+func (h *relayHost) expect(receive func(ctrl.Command)) uint64 {
+	h.lastID++
+	h.answers[h.lastID] = receive
+	return h.lastID
+}
+
+func (h *relayHost) answer(id uint64, c ctrl.Command) {
+	if receive, ok := h.answers[id]; ok {
+		delete(h.answers, id)
+		receive(c)
+	}
+}
+
+func (h *relayHost) sendTo(id model.HostID, deliver func(*relayHost)) {
+	to, ok := h.fleet.byHost[id]
+	if !ok {
+		return
+	}
+	h.fleet.after(peerDelay, func() {
+		if !h.fleet.partitioned {
+			deliver(to)
+		}
+	})
+}
+
+// readStore answers reads of the store; its watches report no changes.
+func (h *relayHost) readStore(c feed.Command) {
+	r, ok := c.(feed.Read)
+	if !ok {
+		return
+	}
+	list := feed.HostsRead{}
+	for _, id := range slices.Sorted(maps.Keys(h.fleet.byHost)) {
+		list.Hosts = append(list.Hosts, h.fleet.byHost[id].host)
+	}
+	var e feed.Event = list
+	switch r.Topic {
+	case feed.Configuration:
+		e = feed.ConfigurationRead{Configuration: h.fleet.configuration, Known: true, AsOf: 1}
+	case feed.Searchers:
+		e = feed.FleetRead{Registrations: h.fleet.registrations, AsOf: 1}
+	}
+	h.fleet.after(peerDelay, func() { h.tick(ctrl.FeedEvent{Event: feed.Result{Topic: r.Topic, CallID: r.CallID, Event: e}}) })
+}
+
+// tickLane runs the lane and ends its calls as the fleet's outcome says.
+func (h *relayHost) tickLane(events ...relay.Event) {
+	f := h.fleet
+	if h.deferred(func() { h.tickLane(events...) }) {
+		return
+	}
+	for _, c := range h.lane.Tick(f.now, events) {
+		switch c := c.(type) {
+		case relay.StartCall:
+			f.called[c.Request] = append(f.called[c.Request], f.now)
+			f.onCall(h, c)
+			f.after(workTime, func() { h.endCall(c) })
+		case relay.Respond:
+			if c.Answer.Kind != relay.Refused {
+				h.answered++
+			}
+		case relay.CancelCall:
+			h.cancelled[c.Call] = true
+		case relay.LossReport:
+			f.after(0, func() { h.tick(ctrl.LossReported(c)) })
+		case relay.SurvivalReport:
+			f.after(0, func() { h.tick(ctrl.SurvivalReported(c)) })
+		}
+	}
+	if next := h.lane.Next(); !next.IsZero() {
+		f.after(max(next.Sub(f.now), time.Millisecond), func() {
+			if due := h.lane.Next(); !due.IsZero() && !f.now.Before(due) {
+				h.tickLane()
+			}
+		})
+	}
+}
+
+func (h *relayHost) endCall(c relay.StartCall) {
+	e := h.fleet.outcome(c)
+	if failed, ok := e.(relay.CallFailed); ok && !failed.NotRun {
+		h.fleet.ended = append(h.fleet.ended, h.fleet.now)
+	}
+	if e != nil && !h.cancelled[c.Call] {
+		h.tickLane(e)
+	}
+}
+
+// submit sends a request with the fingerprint 7.
+func (h *relayHost) submit(id model.RequestID) {
+	h.handle++
+	h.tickLane(relay.Arrived{Request: relay.Request{
+		Handle: h.handle, ID: id, Fingerprint: 7, Host: "h", Path: "/x", Arrived: h.fleet.now, Timeout: time.Second,
+	}})
+}
