relay: answer every request by the end of a shutdown, refuse what may outlast it

Cause: a host that stops served requests until three times the validity of an address answer, whatever time they may need, and closed the connections of those that still ran at the end of the grace period without an answer. A request that may not be repeated could thus run with no word to its caller. In the product's own drain, a request admitted last could exceed the drain bound.

Change: the relay world knows the time by which a stopping host answers. It cuts the deadlines of requests to it, refuses requests that may not be repeated and whose time does not end before it as not run, and serves others as long as their route's target latency is left. The drain world refuses new requests one time budget before its bound.

--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -246,8 +246,12 @@
 }
 
 // Leave removes this host from the addresses that are returned to callers and
-// notifies its peers. The host continues to serve requests.
-func (r *Relay) Leave() { r.control.Send(ctrl.LeaveRequested{}) }
+// notifies its peers. The host continues to serve requests and answers all of them by
+// answerBy; it refuses those that may need longer.
+func (r *Relay) Leave(answerBy time.Time) {
+	r.lane.loop.Send(relay.Stopping{AnswerBy: answerBy})
+	r.control.Send(ctrl.LeaveRequested{})
+}
 
 // Close stops all loops and waits for all goroutines. Run must have been called.
 func (r *Relay) Close() error {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -2,8 +2,9 @@
 //
 // A draining host is removed from the address answers and notifies its peers. It
 // continues to serve until every address answer that contains it has expired and
-// every request sent to it because of such an answer has reached its deadline. It
-// then refuses new requests, waits for those in flight, releases its seats and
+// every request sent to it because of such an answer has reached its deadline, or
+// until a new request might not end within the drain bound. It then refuses new
+// requests, waits for those in flight, releases its seats and
 // stops. A second shutdown request, or the drain bound, ends the drain at once.
 //
 // # Usage
@@ -173,12 +174,13 @@
 
 // refuse is the system that stops the admission of requests once every address
 // answer that contains this host has expired and every request sent because of
-// one has reached its deadline.
+// one has reached its deadline. A request that is admitted last may take the longest
+// time budget, and must end before the drain bound.
 func (w *World) refuse() {
 	if w.phase != Leaving {
 		return
 	}
-	until := w.startedAt.Add(w.addressTTL + w.maxTimeout)
+	until := w.startedAt.Add(max(min(w.addressTTL+w.maxTimeout, w.drainBound-w.maxTimeout), 0))
 	if w.Now().Before(until) {
 		w.WakeAt(until)
 		return
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -68,6 +68,30 @@
 	}
 }
 
+// Guards against requests that are admitted so late that the drain bound cuts them off
+// before their deadline.
+func TestRefusesWhatMayExceedTheBound(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		bound, want time.Duration
+	}{
+		{"bound of more than two time budgets and the TTL", 20 * time.Second, 11 * time.Second},
+		{"shorter bound", 10 * time.Second, 3 * time.Second},
+		{"bound of one time budget", 7 * time.Second, 0},
+		{"bound of less than one time budget", 5 * time.Second, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			settings := settingsChanged(t)
+			var err error
+			settings.Tree, err = settings.Tree.WithValue("/", tree.KeyDrainBound, tree.Number(c.bound.Milliseconds()))
+			is.NoErr(err)
+			got := run(settings, []timedEvent{{0, Requested{}}}, time.Hour)
+			is.Equal(got[1], fmt.Sprintf("%v drain.Refuse{}", c.want))
+		})
+	}
+}
+
 // Guards against a drain that stops serving before the callers' address answers
 // have expired, stops before it is idle, hangs, or aborts requests without
 // reporting it.
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -25,6 +25,10 @@
 			w.refuseRequest(e.Request, refusal, w.refusalRetryAfter(e.Request, refusal))
 			return
 		}
+		if w.refusedByStop(e.Request, route) {
+			w.refuseRequest(e.Request, model.NewRefusal(model.ReasonDraining, "the host is shutting down"), stoppingRetryAfter)
+			return
+		}
 		services := w.selectServices(route)
 		if c, restricted := w.findRestriction(e.Request, route, services); restricted {
 			refusal := model.NewRefusal(model.ReasonRestricted, "service %s takes no more requests of this host for now", w.services.Key(c.service))
@@ -85,7 +89,7 @@
 	id, _ := w.requests.Add(q.Handle)
 	r := request{
 		received: q, route: route, version: w.view.Configuration.Version, stats: w.routeStatsRow(route),
-		deadline: q.deadline(route),
+		deadline: w.deadline(q, route),
 	}
 	if route.Sharded() {
 		r.partialAt = q.Arrived.Add(partialAnswerDelay(q, route))
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -124,6 +124,9 @@
 // failureReason returns the most frequent reason among the missing parts, or
 // that the deadline expired.
 func (w *World) failureReason(r request) model.Reason {
+	if w.cutByStop(r) {
+		return model.ReasonDraining
+	}
 	if !w.Now().Before(r.deadline) {
 		return model.ReasonDeadlineExpired
 	}
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -47,6 +47,11 @@
 	return r
 }
 
+func (r request) withDeadline(at time.Time) request {
+	r.deadline = at
+	return r
+}
+
 func (r request) withOutcome(answered bool) request {
 	r.pendingParts--
 	if answered {
--- a/internal/relay/world.go
+++ b/internal/relay/world.go
@@ -117,6 +117,8 @@
 	// restrictedUntil is the time until which searchers may restrict the calls of this
 	// host; new requests are not checked for it afterwards.
 	restrictedUntil time.Time
+	// answerBy is the time by which a stopping host answers all requests; zero before.
+	answerBy time.Time
 	// slackGranted is set once the retry slack has been granted.
 	slackGranted bool
 
@@ -173,7 +175,7 @@
 	w.routeStat = table.NewColumn[routeStats](w.routes)
 	w.suspect = table.NewColumn[Suspect](w.suspects)
 	w.SetSystems(
-		w.grantRetrySlack, w.applyViews, w.receiveResults, w.cancelDisconnected, w.cancelAbandoned,
+		w.grantRetrySlack, w.applyViews, w.applyStop, w.receiveResults, w.cancelDisconnected, w.cancelAbandoned,
 		w.admitRequests, w.dispatchWaiting, w.hedgeSlowParts, w.reviewLosses, w.completeRequests,
 		w.expireRequests, w.expireSuspects, w.reportStatus, w.armTimers,
 	)
