relay: hold connections ahead of need only on settled hosts of the known fleet

While 195 hosts start, the first ones that are ready see no other ready host, take themselves for the preferred ones and each open the greater part of every searcher's connections. The logs show all of 20 small hosts doing so, up to 27 times each. The same happens when all hosts return at once.

Change: connections are divided among the large hosts of all known ones that have not failed, whether ready or not. They are opened ahead of need once the number of known hosts has not grown by a tenth for 0.5 s. Only if all large hosts have failed do the preferred ones take their place.

--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -26,6 +26,10 @@
 	// standaloneDelay is the time after which a host that has found no peer assumes
 	// that it is the only host.
 	standaloneDelay = 5 * time.Second
+	// settleDelay is the time without a growth by settledGrowth after which the known
+	// hosts count as complete. Members of a fleet that starts arrive within a second.
+	settleDelay   = 500 * time.Millisecond
+	settledGrowth = 1.1
 	// quarantineDuration is the retention time of a request that crashed searchers.
 	// Callers retry such a request within seconds, and a crashed searcher restarts
 	// within seconds. The setting of package tree also defaults to ten minutes.
@@ -67,6 +71,11 @@
 	leaving    bool
 	standalone bool
 	role       feed.RoleAssigned
+	// settled is set once the number of members has not grown for settleDelay since
+	// grewAt, when it was memberCount.
+	settled     bool
+	memberCount int
+	grewAt      time.Time
 
 	suspects suspects
 
@@ -272,10 +281,11 @@
 	if !w.Member.Joined() && !standalone {
 		w.WakeAt(w.StartTime().Add(standaloneDelay))
 	}
-	if !w.dirty && standalone == w.standalone {
+	settled := w.checkSettled()
+	if !w.dirty && standalone == w.standalone && settled == w.settled {
 		return
 	}
-	w.standalone = standalone
+	w.standalone, w.settled = standalone, settled
 	w.dirty = false
 	var serving, known []model.Member
 	for id := range w.members.All() {
@@ -300,6 +310,19 @@
 		known = nil // all hosts get equal shares
 	}
 	slices.SortFunc(serving, func(a, b model.Member) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
-	w.view = w.view.WithHosts(serving, hostCount, joined).WithKnownHosts(known).WithPreferredHosts()
+	w.view = w.view.WithHosts(serving, hostCount, joined).WithKnownHosts(known).WithSettled(joined && settled).WithPreferredHosts()
 	w.Emit(PublishRelay{View: w.view})
 }
+
+// checkSettled reports whether the number of members has stopped growing.
+func (w *Relay) checkSettled() bool {
+	if n := w.members.Len(); w.grewAt.IsZero() || float64(n) > float64(w.memberCount)*settledGrowth {
+		w.memberCount, w.grewAt = n, w.Now()
+	}
+	at := w.grewAt.Add(settleDelay)
+	if w.Now().Before(at) {
+		w.WakeAt(at)
+		return false
+	}
+	return true
+}
--- a/internal/ctrl/relayfleet_test.go
+++ b/internal/ctrl/relayfleet_test.go
@@ -40,6 +40,8 @@
 	outcome func(relay.StartCall) relay.Event
 	// onCall is called for each call.
 	onCall func(*relayHost, relay.StartCall)
+	// onPlan is called for each connection plan.
+	onPlan func(*relayHost, relay.ConnectionPlan)
 	// called holds the times of the calls of each request.
 	called map[model.RequestID][]time.Time
 	ended  []time.Time
@@ -64,10 +66,29 @@
 	answered    int
 }
 
+// newRelayFleet returns a fleet of equal hosts in one failure domain after its start.
 func newRelayFleet(hosts int, route model.Route, budget relay.RetryBudget) *relayFleet {
+	list := make([]model.Host, 0, hosts)
+	for i := range hosts {
+		list = append(list, fleetHost(i, "d1", 400))
+	}
+	f := buildRelayFleet(list, 1000, route, budget)
+	f.run(warmUp)
+	return f
+}
+
+func fleetHost(i int, domain model.FailureDomain, capacity int) model.Host {
+	id := fmt.Sprintf("host-%03d", i)
+	return model.Host{ID: model.HostID(id), Peer: model.Address(id), Entry: model.Address(id), FailureDomain: domain, Capacity: capacity}
+}
+
+// buildRelayFleet returns a fleet of hosts that have not started yet, with four
+// searchers for each service of the route.
+func buildRelayFleet(hosts []model.Host, connectionCap int, route model.Route, budget relay.RetryBudget) *relayFleet {
 	f := &relayFleet{
 		now: epoch, random: rand.New(rand.NewPCG(1, 2)), byHost: map[model.HostID]*relayHost{},
 		called: map[model.RequestID][]time.Time{}, onCall: func(*relayHost, relay.StartCall) {},
+		onPlan: func(*relayHost, relay.ConnectionPlan) {},
 	}
 	route.Name, route.Host, route.Prefix = "r", "h", "/"
 	services := map[model.ServiceName]bool{}
@@ -79,25 +100,23 @@
 	}
 	var settings []model.Service
 	for name := range services {
-		settings = append(settings, model.Service{Name: name, ConnectionCap: 1000})
+		settings = append(settings, model.Service{Name: name, ConnectionCap: connectionCap})
 		for i := range 4 {
 			id := fmt.Sprint(name, "/", i)
+			domain := hosts[i%len(hosts)].FailureDomain
 			f.registrations = append(f.registrations, model.Registration{
 				Service: name, StartMillis: 1, Revision: 1,
-				Searcher: model.Searcher{ID: model.SearcherID(id), Address: model.Address(id), FailureDomain: "d1", Slots: 2},
+				Searcher: model.Searcher{ID: model.SearcherID(id), Address: model.Address(id), FailureDomain: domain, Slots: 2},
 			})
 		}
 	}
 	f.configuration = model.NewConfiguration(1, []model.Route{route}, settings, model.Limits{})
-	for i := range hosts {
-		id := fmt.Sprintf("host-%03d", i)
-		h := model.Host{ID: model.HostID(id), Peer: model.Address(id), Entry: model.Address(id), FailureDomain: "d1", Capacity: 400}
-		if i < 3 {
-			f.seeds = append(f.seeds, h.Peer)
-		}
+	for _, h := range hosts[:min(3, len(hosts))] {
+		f.seeds = append(f.seeds, h.Peer)
+	}
+	for _, h := range hosts {
 		f.start(h, budget)
 	}
-	f.run(warmUp)
 	return f
 }
 
@@ -256,6 +275,8 @@
 			}
 		case relay.CancelCall:
 			h.cancelled[c.Call] = true
+		case relay.ConnectionPlan:
+			f.onPlan(h, c)
 		case relay.LossReport:
 			f.after(0, func() { h.tick(ctrl.LossReported(c)) })
 		case relay.SurvivalReport:
--- a/internal/relay/apply.go
+++ b/internal/relay/apply.go
@@ -99,11 +99,11 @@
 	}
 }
 
-// liveShare returns this host's share of an amount that the hosts that serve
-// callers divide. Shares grow while other hosts seem to have failed, so that the
+// liveShare returns this host's share of an amount that the hosts that hold most
+// connections divide. Shares grow while other hosts seem to have failed, so that the
 // sum over all hosts may exceed the amount.
 func (w *World) liveShare(total float64) float64 {
-	return w.share(total, len(w.view.PreferredHosts), w.view.Prefers(w.Host))
+	return w.share(total, len(w.view.ConnectionHosts), w.view.HoldsConnections(w.Host))
 }
 
 // fixedShare returns this host's share of an amount that must not be exceeded. It
@@ -151,7 +151,7 @@
 			limits := ConnectionLimits{Searcher: s.registration.Searcher}
 			if slices.Contains(subset, id) && !s.draining {
 				limits.MaxOpen = share
-				if w.view.Prefers(w.Host) {
+				if w.view.Settled && w.view.HoldsConnections(w.Host) {
 					limits.MinOpen = min(minOpenConnections, share)
 				}
 			}
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -29,17 +29,29 @@
 // WithPreferredHosts returns the view with the hosts that callers are directed
 // to: hosts with searchers in their failure domain, limited to large hosts if
 // those suffice. LargeShareHosts are chosen in the same way from all known hosts,
-// so that shares do not grow while hosts fail or cannot reach each other. The
-// result depends on Fleet, Hosts and KnownHosts.
+// so that shares do not grow while hosts fail or cannot reach each other.
+// ConnectionHosts are those of them that have not failed, whether ready or not: while
+// all hosts start, the first ones that are ready would otherwise count as the only
+// ones, and each take the greater part of every searcher's connections. Only if all
+// have failed do the preferred hosts take their place. The result depends on Fleet,
+// Hosts and KnownHosts.
 func (v View) WithPreferredHosts() View {
 	v.PreferredHosts = largeHosts(v.hostsNearSearchers(v.Hosts))
 	v.LargeShareHosts = largeHosts(v.hostsNearSearchers(v.KnownHosts))
+	v.ConnectionHosts = slices.DeleteFunc(slices.Clone(v.LargeShareHosts),
+		func(m model.Member) bool { return m.State == model.MemberFailed })
+	if len(v.LargeShareHosts) > 0 && len(v.ConnectionHosts) == 0 {
+		v.ConnectionHosts = v.PreferredHosts
+	}
 	return v
 }
 
 // Prefers reports whether callers are directed to the host.
 func (v View) Prefers(host model.HostID) bool { return containsHost(v.PreferredHosts, host) }
 
+// HoldsConnections reports whether the host is one of ConnectionHosts.
+func (v View) HoldsConnections(host model.HostID) bool { return containsHost(v.ConnectionHosts, host) }
+
 // HasLargeShare reports whether the host is one of LargeShareHosts.
 func (v View) HasLargeShare(host model.HostID) bool { return containsHost(v.LargeShareHosts, host) }
 
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -17,6 +17,9 @@
 	HostCount int
 	// Joined is set once the hosts are known; until then HostCount is an estimate.
 	Joined bool
+	// Settled is set once the number of known hosts has stopped growing, so that
+	// connections can be opened ahead of need.
+	Settled bool
 	// PreferredHosts are the hosts that callers are directed to; see
 	// WithPreferredHosts.
 	PreferredHosts []model.Member
@@ -25,6 +28,9 @@
 	// an amount that all hosts divide; see WithPreferredHosts.
 	KnownHosts      []model.Member
 	LargeShareHosts []model.Member
+	// ConnectionHosts are the hosts that hold most connections to searchers; see
+	// WithPreferredHosts.
+	ConnectionHosts []model.Member
 	// Suspects holds the requests that may crash searchers, as seen by this host
 	// and its peers.
 	Suspects map[model.Fingerprint]Suspect
@@ -60,6 +66,12 @@
 	return v
 }
 
+// WithSettled returns the view with whether the known hosts count as complete.
+func (v View) WithSettled(settled bool) View {
+	v.Settled = settled
+	return v
+}
+
 // WithSuspects returns the view with the given requests that may crash searchers.
 func (v View) WithSuspects(suspects map[model.Fingerprint]Suspect) View {
 	v.Suspects = suspects
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -153,7 +153,7 @@
 	is := is.New(t)
 	l := newLane(1, func(v *View, _ *model.Route) {
 		v.HostCount, v.Joined = 64, false
-		v.PreferredHosts = []model.Member{{Host: model.Host{ID: "host-1"}}}
+		v.ConnectionHosts = []model.Member{{Host: model.Host{ID: "host-1"}}}
 	})
 	id, _ := l.searchers.Find("shard-0/d1")
 	is.Equal(l.searcher.Get(id).connections.MaxOpen, 1)
