relay: delegate calls to hosts in the failure domain of the searchers

Change: where a searcher takes less than one connection from each host, calls of a search to other failure domains go in one message to a large host there, which sends them over its own connections and returns the replies. Decisions on retries, budgets and quarantine stay with the host that has the request; pauses, leaving and replaced addresses are also kept by the host that sends. A delegate that fails is avoided, and its calls go direct. Messages that came much later than usual are refused, results of a former process are dropped. Membership: peers with equal rows count as told, rows are fetched in the own failure domain first, every second probe stays in it if it is large enough.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -131,6 +131,10 @@
 	// Read reads one reply to a call. It returns an error if the reply is incomplete
 	// or malformed.
 	Read func(r *bufio.Reader, c relay.StartCall) (ReadResult, error)
+	// Marshal and Unmarshal encode the message of a call for another host, which sends
+	// the call.
+	Marshal   func(message any) []byte
+	Unmarshal func([]byte) (any, error)
 }
 
 // Pool holds the connections to all searchers. The exported fields must be set
--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -144,7 +144,8 @@
 		}
 	}
 	role.Watch = lowerRanked < watchersPerDomain || domainSize <= maxHostsAllWatch
-	if !role.Joined {
+	if !role.Joined || !w.settled && !w.role.Watch {
+		// Few members are known yet, so that most hosts would count as first.
 		role.Watch = w.Seed
 	}
 	if role != w.role {
--- a/internal/ctrl/relayfleet_test.go
+++ b/internal/ctrl/relayfleet_test.go
@@ -47,6 +47,8 @@
 	ended  []time.Time
 	// partitioned hosts receive no messages of peers.
 	partitioned bool
+	// refusals counts the refused requests by reason.
+	refusals map[model.Reason]int
 }
 
 // relayHost is one process of a host.
@@ -59,11 +61,17 @@
 	answers   map[uint64]func(ctrl.Command)
 	lastID    uint64
 	handle    relay.Handle
-	// stopped is set once another process has replaced this one. A frozen process
+	// stopped is set once the process has ended, and down until another one has
+	// replaced it. A frozen process
 	// handles its events at frozenUntil.
 	stopped     bool
+	down        bool
 	frozenUntil time.Time
 	answered    int
+	// ended counts the answers, refusals included.
+	ended int
+	// incarnation identifies the process to the hosts that it delegates calls to.
+	incarnation uint64
 }
 
 // newRelayFleet returns a fleet of equal hosts in one failure domain after its start.
@@ -88,7 +96,7 @@
 	f := &relayFleet{
 		now: epoch, random: rand.New(rand.NewPCG(1, 2)), byHost: map[model.HostID]*relayHost{},
 		called: map[model.RequestID][]time.Time{}, onCall: func(*relayHost, relay.StartCall) {},
-		onPlan: func(*relayHost, relay.ConnectionPlan) {},
+		onPlan: func(*relayHost, relay.ConnectionPlan) {}, refusals: map[model.Reason]int{},
 	}
 	route.Name, route.Host, route.Prefix = "r", "h", "/"
 	services := map[model.ServiceName]bool{}
@@ -123,7 +131,7 @@
 func (f *relayFleet) start(host model.Host, budget relay.RetryBudget) {
 	h := &relayHost{
 		fleet: f, host: host, control: ctrl.NewRelay(host, uint64(f.now.UnixMilli())), lane: relay.NewWorld(host.ID, host.FailureDomain),
-		cancelled: map[relay.CallID]bool{}, answers: map[uint64]func(ctrl.Command){},
+		cancelled: map[relay.CallID]bool{}, answers: map[uint64]func(ctrl.Command){}, incarnation: uint64(f.now.UnixMilli()),
 	}
 	if old, ok := f.byHost[host.ID]; ok {
 		old.stopped = true
@@ -270,13 +278,28 @@
 			f.onCall(h, c)
 			f.after(workTime, func() { h.endCall(c) })
 		case relay.Respond:
+			h.ended++
 			if c.Answer.Kind != relay.Refused {
 				h.answered++
+			} else {
+				f.refusals[c.Answer.Refusal.Reason]++
 			}
 		case relay.CancelCall:
 			h.cancelled[c.Call] = true
 		case relay.ConnectionPlan:
 			f.onPlan(h, c)
+		case relay.DelegateCalls:
+			h.delegate(c)
+		case relay.CancelDelegated:
+			h.sendTo(c.Delegate.ID, func(to *relayHost) { to.tickLane(relay.GuestCancelled{Guest: h.guest(), Calls: c.Calls}) })
+		case relay.GuestReplies:
+			h.sendTo(c.Guest.Host, func(to *relayHost) {
+				if to.incarnation == c.Guest.Process {
+					for _, r := range c.Results {
+						to.tickLane(r.Event())
+					}
+				}
+			})
 		case relay.LossReport:
 			f.after(0, func() { h.tick(ctrl.LossReported(c)) })
 		case relay.SurvivalReport:
@@ -303,9 +326,43 @@
 }
 
 // submit sends a request with the fingerprint 7.
-func (h *relayHost) submit(id model.RequestID) {
+func (h *relayHost) submit(id model.RequestID) { h.submitAs(id, 7) }
+
+func (h *relayHost) submitAs(id model.RequestID, fingerprint model.Fingerprint) {
 	h.handle++
 	h.tickLane(relay.Arrived{Request: relay.Request{
-		Handle: h.handle, ID: id, Fingerprint: 7, Host: "h", Path: "/x", Arrived: h.fleet.now, Timeout: time.Second,
+		Handle: h.handle, ID: id, Fingerprint: fingerprint, Host: "h", Path: "/x", Arrived: h.fleet.now, Timeout: time.Second,
 	}})
 }
+
+func (h *relayHost) guest() relay.Guest {
+	return relay.Guest{Host: h.host.ID, Process: h.incarnation, Peer: h.host.Peer}
+}
+
+// delegate sends delegated calls. If the other host has stopped or does not hear this
+// one, the calls fail after some time, and it is not known whether they arrived.
+func (h *relayHost) delegate(c relay.DelegateCalls) {
+	f, sent := h.fleet, h.fleet.now
+	to := f.byHost[c.Delegate.ID]
+	if f.partitioned || to == nil || to.down {
+		f.after(500*time.Millisecond, func() {
+			failed := relay.DelegationFailed{Delegate: c.Delegate.ID, Cause: "no confirmation"}
+			for _, d := range c.Calls {
+				failed.Calls = append(failed.Calls, d.Call)
+			}
+			h.tickLane(failed)
+			h.tick(ctrl.MemberEvent{Event: member.CallFailed{Host: c.Delegate.ID}})
+		})
+		return
+	}
+	var arrive func()
+	arrive = func() {
+		if to.deferred(arrive) {
+			return
+		}
+		to.tickLane(relay.GuestCalls{
+			Guest: h.guest(), Request: c.Request, Message: c.Message, Timeout: c.Timeout, Calls: c.Calls, Offset: f.now.Sub(sent),
+		})
+	}
+	f.after(peerDelay, arrive)
+}
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -124,6 +124,7 @@
 	r.peers.send = r.control.Send
 	r.peers.server.Pull = r.handlePull
 	r.lane.report = r.peers.report
+	r.lane.delegator = newDelegator(r.Self, r.Codec, r.peers, r.lane)
 }
 
 // announce publishes this host's address. It makes up to announceAttempts
--- a/internal/daemon/relaylane.go
+++ b/internal/daemon/relaylane.go
@@ -22,6 +22,8 @@
 	report      func(ctrl.Event)
 	waiting     *pending[relay.Handle, relay.Answer]
 	statusQuery *statusQuery[relay.Status]
+	// delegator must be set before the loop runs.
+	delegator *delegator
 }
 
 func newRelayLane(world *relay.World, pool *conns.Pool, m *meter.Meter, log hclog.Logger) *relayLane {
@@ -63,6 +65,8 @@
 		l.pool.Cancel(c.Call)
 	case relay.Respond:
 		l.waiting.deliver(c.Handle, c.Answer)
+	case relay.DelegateCalls, relay.CancelDelegated, relay.GuestReplies:
+		l.delegator.execute(c)
 	case relay.ConnectionPlan:
 		l.pool.SetPlan(c)
 	case relay.StatusReported:
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -118,6 +118,16 @@
 	return call(ctx, p, to, "forward request", m, peer.DRPCPeerServiceClient.Forward)
 }
 
+// Delegate asks a peer to send or cancel calls to searchers.
+func (p *Pool) Delegate(ctx context.Context, to model.Address, m *peer.DelegateRequest) (*peer.DelegateResponse, error) {
+	return call(ctx, p, to, "delegate calls", m, peer.DRPCPeerServiceClient.Delegate)
+}
+
+// Deliver sends a peer the results of calls that it delegated.
+func (p *Pool) Deliver(ctx context.Context, to model.Address, m *peer.DeliverRequest) (*peer.DeliverResponse, error) {
+	return call(ctx, p, to, "deliver results", m, peer.DRPCPeerServiceClient.Deliver)
+}
+
 // Close cancels the calls in flight, closes all connections and waits for the
 // calls to return.
 func (p *Pool) Close() error {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -52,6 +52,9 @@
 	// Forward runs a caller's request. The deadline of its context is the timeout
 	// of the request.
 	Forward func(context.Context, *peer.ForwardRequest) (*peer.ForwardResponse, error)
+	// Delegate takes calls to searchers, and Deliver the results of such calls.
+	Delegate func(context.Context, *peer.DelegateRequest) (*peer.DelegateResponse, error)
+	Deliver  func(context.Context, *peer.DeliverRequest) (*peer.DeliverResponse, error)
 
 	mu          sync.Mutex
 	activeCalls int
@@ -203,6 +206,14 @@
 	return invoke(ctx, h.server, timeout, m, h.server.Forward)
 }
 
+func (h handler) Delegate(ctx context.Context, m *peer.DelegateRequest) (*peer.DelegateResponse, error) {
+	return invoke(ctx, h.server, h.server.Timeout, m, h.server.Delegate)
+}
+
+func (h handler) Deliver(ctx context.Context, m *peer.DeliverRequest) (*peer.DeliverResponse, error) {
+	return invoke(ctx, h.server, h.server.Timeout, m, h.server.Deliver)
+}
+
 // invoke authenticates the sender of a call and runs the handler function of its
 // method.
 func invoke[Q, R any](ctx context.Context, s *Server, timeout time.Duration, request Q, method func(context.Context, Q) (R, error)) (R, error) {
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -88,15 +88,42 @@
 }
 
 // syncIfDifferent fetches the full state of a peer whose rows differ. Changes
-// on probes are sent a limited number of times, so some hosts may miss one.
+// on probes are sent a limited number of times, so some hosts may miss one. A peer of
+// another failure domain, to which bytes are billed, is asked only once no peer of
+// this domain has had other rows for another interval.
 func (w *World) syncIfDifferent(from model.Host, hash uint64) {
-	if hash == w.hash || hash == 0 || !w.joined && w.contacts.Len() > 0 || w.Now().Before(w.nextSync) || from.ID == "" {
+	if hash == w.hash {
+		w.countEqualRows()
 		return
 	}
-	w.nextSync = w.Now().Add(syncInterval + time.Duration(w.members.Len())*syncIntervalPerMember)
+	if from.FailureDomain != w.self.Host.FailureDomain && w.Now().Before(w.nextSync.Add(w.syncInterval())) {
+		return
+	}
+	if hash == 0 || !w.joined && w.contacts.Len() > 0 || w.Now().Before(w.nextSync) || from.ID == "" {
+		return
+	}
+	w.nextSync = w.Now().Add(w.syncInterval())
 	w.Emit(FetchMembers{From: from})
 }
 
+func (w *World) syncInterval() time.Duration {
+	return syncInterval + time.Duration(w.members.Len())*syncIntervalPerMember
+}
+
+// countEqualRows counts the queued changes as sent several times after a peer has
+// shown the same rows: most hosts then know them (rumor mongering with feedback,
+// Demers et al. 1987). Without it, each change is sent on after all hosts have it.
+func (w *World) countEqualRows() {
+	limit := w.retransmitLimit()
+	for id := range w.queue.All() {
+		count := w.sendCount.Get(id) + equalRowsWeight
+		w.sendCount.Set(id, count)
+		if count >= limit {
+			w.queue.Remove(id)
+		}
+	}
+}
+
 // probeContacts is the system that periodically probes a failed member or a
 // contact that is not a member, so that the two sides of a healed partition
 // find each other.
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -83,7 +83,7 @@
 	if r, ok := w.find(to); ok && r.member.State != model.MemberAlive && to != w.self.Host.ID {
 		list = append(list, r.member)
 	}
-	limit := retransmitFactor * bits.Len(uint(w.members.Len()))
+	limit := w.retransmitLimit()
 	for _, id := range w.leastSent(maxChanges - len(list)) {
 		host, count := w.queue.Key(id), w.sendCount.Get(id)+1
 		w.sendCount.Set(id, count)
@@ -97,6 +97,9 @@
 	return list
 }
 
+// retransmitLimit returns the number of messages that carry a change.
+func (w *World) retransmitLimit() int { return retransmitFactor * bits.Len(uint(w.members.Len())) }
+
 // leastSent returns up to limit queued changes and drops those queued for longer
 // than maxChangeAge, which peers have received from others.
 func (w *World) leastSent(limit int) []table.ID {
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -227,7 +227,7 @@
 	if w.self.State == model.MemberLeft {
 		return
 	}
-	if m, ok := w.nextInRound(); ok {
+	if m, ok := w.nextTarget(); ok {
 		w.startProbe(probe{target: m.Host}, m.Host, "")
 		return
 	}
@@ -235,24 +235,56 @@
 	w.probeRandomContact()
 }
 
-// nextInRound returns the next member that has not failed or left. Each member
-// comes once per round, which bounds the time until a failed member is probed;
-// each round has a new random order.
-func (w *World) nextInRound() (model.Member, bool) {
+// nextTarget returns the next member to probe: by turns one of all members and one of
+// this host's failure domain, whose bytes are not billed, if the domain is large enough
+// for its members to confirm a failure.
+func (w *World) nextTarget() (model.Member, bool) {
+	w.probeNearby = !w.probeNearby
+	if w.probeNearby {
+		nearby := func(m model.Member) bool { return m.Host.FailureDomain == w.self.Host.FailureDomain }
+		if len(w.nearbyRound) > 0 || w.countMembers(nearby) > indirectProbeCount {
+			if m, ok := w.nextInRound(&w.nearbyRound, nearby); ok {
+				return m, true
+			}
+		}
+	}
+	return w.nextInRound(&w.probeRound, func(model.Member) bool { return true })
+}
+
+// countMembers returns the number of other members that match and have not failed or
+// left.
+func (w *World) countMembers(match func(model.Member) bool) (n int) {
+	for id := range w.members.All() {
+		if m := w.row.Get(id).member; w.probeable(m) && match(m) {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *World) probeable(m model.Member) bool {
+	return m.Host.ID != w.self.Host.ID && !failedOrLeft(m)
+}
+
+// nextInRound returns the next member of a round that has not failed or left. Each
+// member that matches comes once per round, which bounds the time until a failed
+// member is probed; each round has a new random order.
+func (w *World) nextInRound(round *[]model.HostID, match func(model.Member) bool) (model.Member, bool) {
 	for range 2 {
-		for len(w.probeRound) > 0 {
-			host := w.probeRound[len(w.probeRound)-1]
-			w.probeRound = w.probeRound[:len(w.probeRound)-1]
+		for len(*round) > 0 {
+			last := len(*round) - 1
+			host := (*round)[last]
+			*round = (*round)[:last]
 			if r, ok := w.find(host); ok && !failedOrLeft(r.member) {
 				return r.member, true
 			}
 		}
 		for id := range w.members.All() {
-			if r := w.row.Get(id); r.member.Host.ID != w.self.Host.ID && !failedOrLeft(r.member) {
-				w.probeRound = append(w.probeRound, r.member.Host.ID)
+			if m := w.row.Get(id).member; w.probeable(m) && match(m) {
+				*round = append(*round, m.Host.ID)
 			}
 		}
-		w.Random.Shuffle(len(w.probeRound), func(i, j int) { w.probeRound[i], w.probeRound[j] = w.probeRound[j], w.probeRound[i] })
+		w.Random.Shuffle(len(*round), func(i, j int) { (*round)[i], (*round)[j] = (*round)[j], (*round)[i] })
 	}
 	return model.Member{}, false
 }
--- a/internal/member/world.go
+++ b/internal/member/world.go
@@ -33,6 +33,9 @@
 	// retransmitFactor times log2 of the number of members is the number of
 	// messages that carry a change.
 	retransmitFactor = 2
+	// equalRowsWeight is the number of messages for which a peer with the same rows
+	// counts.
+	equalRowsWeight = 4
 	// maxChangeAge is how long a change may stay in the queue. A change reaches
 	// 6,700 hosts in about 15 probe intervals; a longer queue only costs processor
 	// time.
@@ -107,13 +110,17 @@
 
 	lastProbeID uint64
 	// lastRefuted is the highest incarnation of this process that was refuted.
-	lastRefuted      uint64
-	probeRound       []model.HostID
-	nextProbe        time.Time
-	nextContactProbe time.Time
-	nextSync         time.Time
-	nextJoin         time.Time
-	nextSweep        time.Time
+	lastRefuted uint64
+	// probeRound lists the members that are still to be probed in the current round,
+	// and nearbyRound those of this host's failure domain; probeNearby is set if the
+	// last probe was for one of nearbyRound.
+	probeRound, nearbyRound []model.HostID
+	probeNearby             bool
+	nextProbe               time.Time
+	nextContactProbe        time.Time
+	nextSync                time.Time
+	nextJoin                time.Time
+	nextSweep               time.Time
 
 	changed map[model.HostID]bool
 	removed []model.HostID
--- a/internal/model/refusal.go
+++ b/internal/model/refusal.go
@@ -172,12 +172,15 @@
 	FailureRejected
 	// FailureTruncated means that the message of the reply was incomplete.
 	FailureTruncated
+	// FailureDelegate means that the host to which the call was delegated did not take
+	// it or did not confirm it.
+	FailureDelegate
 )
 
 // String returns the name used in logs.
 func (f Failure) String() string {
 	return [...]string{
 		"lost", "connectFailed", "unsent", "shed", "draining", "versionGone",
-		"deadline", "cancelled", "rejected", "truncated",
+		"deadline", "cancelled", "rejected", "truncated", "delegate",
 	}[f]
 }
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -67,3 +67,11 @@
 	}
 	return a
 }
+
+// topRecords returns the greatest records of a part, in descending order.
+func topRecords(body []byte, limit int) []byte {
+	if limit <= 0 || len(body) <= limit*recordSize {
+		return body
+	}
+	return mergeParts([]Reply{{Body: body}}, 0, limit).Records
+}
--- a/internal/relay/apply.go
+++ b/internal/relay/apply.go
@@ -18,6 +18,9 @@
 	tick.Each(w.Inbox(), func(e ViewChanged) {
 		old := w.view
 		w.view = e.View
+		if e.View.Configuration.Version != old.Configuration.Version {
+			w.updateShards()
+		}
 		w.updateSearchers()
 		w.forgetSurvived(old)
 		w.updateRetryBudgets()
@@ -142,6 +145,7 @@
 		name, members := w.services.Key(row), w.service.Get(row).members
 		settings, _ := w.view.Configuration.Service(name)
 		share := w.connectionShare(settings.ConnectionCap)
+		scarce := w.connectionsScarce(settings.ConnectionCap)
 		subset := members
 		if share == 0 {
 			share, subset = 1, w.searcherSubset(members)
@@ -151,11 +155,11 @@
 			limits := ConnectionLimits{Searcher: s.registration.Searcher}
 			if slices.Contains(subset, id) && !s.draining {
 				limits.MaxOpen = share
-				if w.view.Settled && w.view.HoldsConnections(w.Host) {
+				if w.view.Settled && w.view.HoldsConnections(w.Host) && (!scarce || s.local) {
 					limits.MinOpen = min(minOpenConnections, share)
 				}
 			}
-			w.searcher.Set(id, s.withConnections(limits))
+			w.searcher.Set(id, s.withConnections(limits, scarce && w.shards[name]))
 			if limits.MaxOpen > 0 {
 				plan.Searchers[w.searchers.Key(id)] = limits
 			}
@@ -164,6 +168,16 @@
 	w.Emit(plan)
 }
 
+// updateShards collects the services that are shards of a route.
+func (w *World) updateShards() {
+	clear(w.shards)
+	for _, r := range w.view.Configuration.Routes() {
+		for _, name := range r.Shards {
+			w.shards[name] = true
+		}
+	}
+}
+
 // connectionShare returns how many connections this host may open to a searcher
 // with the given cap, or 0 if there is less than one per host.
 func (w *World) connectionShare(connectionCap int) int {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -155,7 +155,7 @@
 	r := w.request.Get(p.request)
 	w.lastCall++
 	id, _ := w.calls.Add(w.lastCall)
-	w.call.Set(id, call{part: row, searcher: to, stats: r.stats, request: r.received.ID, sent: w.Now(), hedge: hedge})
+	c := call{part: row, searcher: to, stats: r.stats, request: r.received.ID, sent: w.Now(), hedge: hedge}
 	w.part.Set(row, p.withCall(id, to))
 	w.request.Set(p.request, r.withCall())
 	s := w.searcher.Get(to).withCall(w.Now())
@@ -167,10 +167,16 @@
 	if !s.local {
 		w.Emit(Count{"call", "crossDomain"})
 	}
-	w.Emit(StartCall{
+	start := StartCall{
 		Call: w.lastCall, Searcher: s.registration.Searcher, Request: r.received.ID, Message: r.received.Message,
 		Timeout: r.deadline.Sub(w.Now()), Fresh: !r.route.Idempotent,
-	})
+	}
+	if host, delegated := w.chooseDelegate(p.request, r, s); delegated {
+		c.delegate = w.addDelegation(host, start, r.route.TopK)
+	} else {
+		w.Emit(start)
+	}
+	w.call.Set(id, c)
 }
 
 // dispatchWaiting is the system that dispatches queued parts once a searcher has
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -259,8 +259,7 @@
 			continue
 		}
 		c := w.call.Get(id)
-		w.Emit(Count{"call", "cancelled"})
-		w.Emit(CancelCall{Call: w.calls.Key(id)})
+		w.cancelCall(id, c)
 		w.endCall(id, c, w.Now().Sub(c.sent), callDropped)
 	}
 }
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -29,6 +29,7 @@
 	c := w.call.Get(id)
 	r := e.Reply
 	w.applyRestrictions(c, r)
+	w.finishGuest(c, GuestResult{Reply: r})
 	switch {
 	case r.NotRun || r.Misdirected:
 		w.handleNotRun(id, c, r)
@@ -47,7 +48,9 @@
 	w.Emit(Observe{"call", took})
 	p := w.part.Get(c.part)
 	if !w.parts.Has(c.part) || p.state != partOpen {
-		w.Emit(Count{"drop", string(model.DropDuplicate)})
+		if c.guest == 0 {
+			w.Emit(Count{"drop", string(model.DropDuplicate)})
+		}
 		return
 	}
 	if c.hedge {
@@ -95,7 +98,8 @@
 		return
 	}
 	c := w.call.Get(id)
-	if e.Failure != model.FailureCancelled {
+	w.finishGuest(c, GuestResult{Failed: true, Failure: e.Failure, NotRun: e.NotRun, Cause: e.Cause})
+	if e.Failure != model.FailureCancelled && e.Failure != model.FailureDelegate {
 		w.searcher.Set(c.searcher, w.searcher.Get(c.searcher).withLoss(w.Now()))
 		w.log("call failed", "request", c.request, "searcher", w.searchers.Key(c.searcher), "failure", e.Failure.String(),
 			"notRun", e.NotRun, "elapsedMs", milliseconds(w.Now().Sub(c.sent)), "cause", e.Cause)
@@ -126,6 +130,11 @@
 	w.searcher.Set(c.searcher, s)
 	w.freedServices = append(w.freedServices, s.service)
 	w.calls.Remove(id)
+	w.endDelegation(c, !failed)
+	if c.guest != 0 {
+		w.guestCalls.Remove(c.guest)
+		return
+	}
 	if !w.parts.Has(c.part) {
 		return
 	}
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -228,6 +228,10 @@
 	request  model.RequestID
 	sent     time.Time
 	hedge    bool
+	// delegate is the host that sends the call for this one, and guest the delegated
+	// call that this host sends for another one; at most one is set.
+	delegate table.ID
+	guest    table.ID
 }
 
 // callEnd is the outcome of a call.
--- a/internal/relay/searcher.go
+++ b/internal/relay/searcher.go
@@ -17,7 +17,10 @@
 	local bool
 	// connections limits the connections of this host to the searcher.
 	connections ConnectionLimits
-	inFlight    int
+	// delegated is set if the searcher takes less than one connection from each host,
+	// so that calls to it are delegated.
+	delegated bool
+	inFlight  int
 	// limit bounds the calls in flight; it is lowered when the searcher sheds load.
 	limit policy.Limit
 	// lastProgress is when the searcher last answered or got a call while idle.
@@ -180,12 +183,22 @@
 	return s
 }
 
-func (s searcher) withConnections(c ConnectionLimits) searcher {
-	s.connections = c
-	s.limit = s.limit.WithMax(c.MaxOpen)
+// withConnections returns the searcher with the limits of this host's connections.
+// Delegated calls need none, and are limited to what the searcher can run and queue.
+func (s searcher) withConnections(c ConnectionLimits, delegated bool) searcher {
+	s.connections, s.delegated = c, delegated
+	s.limit = s.limit.WithMax(s.maxInFlight())
 	return s
 }
 
+// maxInFlight returns the number of calls that this host may have in flight.
+func (s searcher) maxInFlight() int {
+	if s.delegated {
+		return max(s.connections.MaxOpen, delegatedCallsPerSlot*s.registration.Searcher.Slots)
+	}
+	return s.connections.MaxOpen
+}
+
 func (s searcher) withShed() searcher {
 	s.limit = s.limit.WithShed()
 	return s
@@ -195,4 +208,4 @@
 func (s searcher) usable() bool { return !s.draining && s.connections.MaxOpen > 0 }
 
 // full reports whether the calls in flight have reached the limit of this host.
-func (s searcher) full() bool { return s.inFlight >= min(s.connections.MaxOpen, s.limit.Value()) }
+func (s searcher) full() bool { return s.inFlight >= min(s.maxInFlight(), s.limit.Value()) }
--- a/internal/relay/world.go
+++ b/internal/relay/world.go
@@ -98,6 +98,9 @@
 	// hostReplacementFactor is the number of hosts that may hold connections while
 	// hosts are being replaced, relative to the known hosts.
 	hostReplacementFactor = 1.1
+	// delegatedCallsPerSlot is the number of calls that a host may have in flight to a
+	// searcher through other hosts, for each of its slots.
+	delegatedCallsPerSlot = 2
 	// minOpenConnections is the number of connections to a searcher that are opened
 	// in advance.
 	minOpenConnections = 2
@@ -112,7 +115,9 @@
 	// RetryBudget must be set before the first tick.
 	RetryBudget RetryBudget
 
-	view     View
+	view View
+	// shards holds the services that are shards of a route.
+	shards   map[model.ServiceName]bool
 	lastCall CallID
 	// restrictedUntil is the time until which searchers may restrict the calls of this
 	// host; new requests are not checked for it afterwards.
@@ -140,6 +145,26 @@
 	// survivedAt holds the time at which a searcher survived a suspect.
 	survivedAt *policy.LRU[model.Fingerprint, time.Time]
 
+	// delegateHosts are the hosts that took calls of this one. delegations and
+	// cancelledDelegations collect the messages of a tick to them.
+	delegateHosts        *table.Table[model.HostID]
+	delegate             *table.Column[delegate]
+	delegateChoices      map[delegateChoice]model.Host
+	delegations          []delegation
+	cancelledDelegations []delegation
+	// guests are the processes that delegate calls to this host, guestCalls their
+	// calls in flight, and guestResults the results of a tick.
+	guests       *table.Table[Guest]
+	guestDelay   *table.Column[guestDelay]
+	guestCalls   *table.Table[guestKey]
+	guestCall    *table.Column[guestCall]
+	guestResults map[Guest][]GuestResult
+	// guestsToAnswer lists the keys of guestResults in order.
+	guestsToAnswer []Guest
+	// lastGuestAt is when delegated calls last came; guestsLateUntil is the end of the
+	// time after a pause of the process.
+	lastGuestAt, guestsLateUntil time.Time
+
 	// changedServices lists the services whose searchers or limits changed in this
 	// tick, freedServices those with a searcher whose call ended. settledRequests
 	// lists the requests with a settled part, reviewQueue those with an ended call
@@ -160,12 +185,14 @@
 func NewWorld(host model.HostID, domain model.FailureDomain) *World {
 	w := &World{
 		Host: host, FailureDomain: domain,
-		view:     View{HostCount: 1},
+		view: View{HostCount: 1}, shards: map[model.ServiceName]bool{},
 		requests: table.New[Handle](), parts: table.New[partKey](), calls: table.New[CallID](),
 		searchers: table.New[model.SearcherID](), services: table.New[model.ServiceName](), routes: table.New[string](),
 		suspects: table.New[model.Fingerprint](), survivedAt: policy.NewLRU[model.Fingerprint, time.Time](maxSuspects),
 		hedgeTimers: policy.NewTimers[table.ID](), requestTimers: policy.NewTimers[table.ID](), cancelTimers: policy.NewTimers[table.ID](),
 		serviceTimers: policy.NewTimers[table.ID](),
+		delegateHosts: table.New[model.HostID](), delegateChoices: map[delegateChoice]model.Host{},
+		guests: table.New[Guest](), guestCalls: table.New[guestKey](), guestResults: map[Guest][]GuestResult{},
 	}
 	w.request = table.NewColumn[request](w.requests)
 	w.part = table.NewColumn[part](w.parts)
@@ -174,10 +201,13 @@
 	w.service = table.NewColumn[service](w.services)
 	w.routeStat = table.NewColumn[routeStats](w.routes)
 	w.suspect = table.NewColumn[Suspect](w.suspects)
+	w.delegate = table.NewColumn[delegate](w.delegateHosts)
+	w.guestDelay = table.NewColumn[guestDelay](w.guests)
+	w.guestCall = table.NewColumn[guestCall](w.guestCalls)
 	w.SetSystems(
-		w.grantRetrySlack, w.applyViews, w.applyStop, w.receiveResults, w.cancelDisconnected, w.cancelAbandoned,
-		w.admitRequests, w.dispatchWaiting, w.hedgeSlowParts, w.reviewLosses, w.completeRequests,
-		w.expireRequests, w.expireSuspects, w.reportStatus, w.armTimers,
+		w.grantRetrySlack, w.applyViews, w.applyStop, w.receiveResults, w.failDelegations, w.cancelDisconnected, w.cancelAbandoned,
+		w.admitRequests, w.noticePause, w.admitGuests, w.dispatchWaiting, w.hedgeSlowParts, w.reviewLosses, w.completeRequests,
+		w.expireRequests, w.expireSuspects, w.sendDelegations, w.sendCancellations, w.sendGuestReplies, w.reportStatus, w.armTimers,
 	)
 	return w
 }
--- a/internal/tick/frame.go
+++ b/internal/tick/frame.go
@@ -11,6 +11,7 @@
 	startTime time.Time
 	firstTick bool
 	nextWake  time.Time
+	delay     time.Duration
 	inbox     []E
 	commands  []C
 	systems   []func()
@@ -25,6 +26,10 @@
 	if f.firstTick = f.startTime.IsZero(); f.firstTick {
 		f.startTime = now
 	}
+	f.delay = 0
+	if !f.nextWake.IsZero() {
+		f.delay = max(now.Sub(f.nextWake), 0)
+	}
 	f.now, f.inbox, f.commands, f.nextWake = now, inbox, nil, time.Time{}
 	for _, s := range f.systems {
 		s()
@@ -38,6 +43,10 @@
 // Now returns the time of the current or most recent tick.
 func (f *Frame[E, C]) Now() time.Time { return f.now }
 
+// Delay returns how much later than requested the current tick runs. A long delay
+// shows that the process was paused.
+func (f *Frame[E, C]) Delay() time.Duration { return f.delay }
+
 // StartTime returns the time of the first tick, or zero before it.
 func (f *Frame[E, C]) StartTime() time.Time { return f.startTime }
 
