conns, relay: take no reply without the request's id, answer unsent requests as not run

Cause: a reply without an id was taken for the call in flight, though it may be a second copy of an earlier reply. And a request whose calls still waited for connections at its deadline was answered 502 or 504, as one that may have run; its caller cannot repeat it if it is not idempotent.

Change: a reply must have the id of its call, else the connection is closed and the call may have run. Before a request is given up, the pool revokes its calls that have no connection yet and reports them as not run.

Measured: TestSecondCopyOfAReplyIsDropped and TestRequestWithoutSentCallsHasNotRun guard these.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -239,7 +239,8 @@
 // false if the connection was closed.
 func (c *conn) deliver(a *activeCall, result ReadResult) bool {
 	p := c.pool
-	mismatched := result.RequestID != "" && result.RequestID != a.start.Request
+	// A reply without an id may be a second copy of the reply to an earlier call.
+	mismatched := result.RequestID != a.start.Request
 	p.mu.Lock()
 	_, live := p.active[a.start.Call]
 	delete(p.active, a.start.Call)
@@ -252,7 +253,7 @@
 	}
 	p.mu.Unlock()
 	if live && mismatched {
-		p.OnResult(relay.CallFailed{Call: a.start.Call, Failure: model.FailureTruncated, Cause: "the reply has the id of another request"})
+		p.OnResult(relay.CallFailed{Call: a.start.Call, Failure: model.FailureTruncated, Cause: "the reply does not have the id of the request"})
 	} else if live {
 		p.OnResult(relay.Replied{Call: a.start.Call, Reply: result.Reply})
 	}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -2,8 +2,8 @@
 // carries one call at a time. Each searcher has a maximum number of open
 // connections and a minimum number that is opened in advance.
 //
-// A Codec encodes calls and decodes replies. A reply with a request id is accepted
-// only if the id is that of the call. Late replies to earlier requests are
+// A Codec encodes calls and decodes replies. A reply is accepted only if it has the
+// request id of the call. Late replies to earlier requests are
 // skipped, and data received on an idle connection closes it.
 //
 // # Usage
@@ -305,6 +305,28 @@
 	a.conn.close()
 }
 
+// RevokeUnsent cancels those of the given calls that have no connection yet, reports
+// them as not run, and then calls done. It does not block.
+func (p *Pool) RevokeUnsent(calls []relay.CallID, done func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var revoked []*activeCall
+	for _, id := range calls {
+		if a, ok := p.active[id]; ok && a.conn == nil {
+			delete(p.active, id)
+			a.backend.removeWaiting(a)
+			revoked = append(revoked, a)
+		}
+	}
+	p.tasks.Go(func() { // OnResult could block
+		for _, a := range revoked {
+			p.OnUnsent(a.start)
+			p.OnResult(relay.CallFailed{Call: a.start.Call, Failure: model.FailureUnsent, NotRun: true, Cause: "the call had no connection yet"})
+		}
+		done()
+	})
+}
+
 // Close closes all connections and waits for their goroutines.
 func (p *Pool) Close() error {
 	p.mu.Lock()
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -24,7 +24,7 @@
 			if err != nil {
 				return ReadResult{}, err
 			}
-			id, body, _ := strings.Cut(strings.TrimSpace(line), " ")
+			id, body, _ := strings.Cut(strings.TrimSuffix(line, "\n"), " ")
 			return ReadResult{
 				RequestID: model.RequestID(id), Reusable: body != "close",
 				Reply: relay.Reply{Status: 200, Body: []byte(body)},
@@ -122,6 +122,9 @@
 		{"complete", "r1 hello\n", "hello", 0},
 		{"after a late reply to an earlier request", "r0 late\nr1 hello\n", "hello", 0},
 		{"with the id of another request, then closed", "r0 close\n", "", model.FailureTruncated},
+		// A second copy of an earlier reply cannot be told from one to this call.
+		{"without an id", " copy\n", "", model.FailureTruncated},
+		{"without an id, then the reply", " copy\nr1 hello\n", "", model.FailureTruncated},
 		{"truncated", "r1 hel", "", model.FailureTruncated},
 		{"connection closed", "", "", model.FailureLost},
 	} {
@@ -243,3 +246,57 @@
 	p.Cancel(2)
 	is.Equal(unsent, []relay.CallID{2})
 }
+
+// Guards against a second copy of a reply that a searcher sends late, on a connection
+// that carries another call: it must not be taken for the reply to that call, whether it
+// comes while the connection is idle or before the reply of the next call.
+func TestSecondCopyOfAReplyIsDropped(t *testing.T) {
+	for _, c := range []struct{ name, copied string }{{"with its id", "r1 first\n"}, {"without an id", " first\n"}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			calls := 0
+			s := newSearcher(t, func(line string) string {
+				calls++
+				if calls == 1 {
+					return line + " first\n"
+				}
+				return c.copied + line + " own\n"
+			})
+			p, events := newTestPool(t, s, 0, 1)
+			startCall(p, 1)
+			first, ok := next(t, events).(relay.Replied)
+			is.True(ok)
+			is.Equal(string(first.Reply.Body), "first")
+			startCall(p, 2)
+			switch e := next(t, events).(type) {
+			case relay.Replied:
+				is.Equal(e.Call, relay.CallID(2))
+				is.Equal(string(e.Reply.Body), "own")
+			case relay.CallFailed:
+				is.True(!e.NotRun)
+			}
+		})
+	}
+}
+
+// Guards against a call that waits for a connection and is reported as one that may
+// have run, and against a revocation of calls that were sent.
+func TestRevokeUnsent(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s := newSearcher(t, func(line string) string { <-release; return line + " x\n" })
+	p, events := newTestPool(t, s, 0, 1)
+	startCall(p, 1)
+	<-s.accepted
+	startCall(p, 2) // waits: one connection is allowed
+	done := make(chan struct{})
+	p.RevokeUnsent([]relay.CallID{1, 2, 3}, func() { close(done) })
+	e, ok := next(t, events).(relay.CallFailed)
+	is.True(ok)
+	is.Equal(e.Call, relay.CallID(2))
+	is.True(e.NotRun)
+	<-done
+	close(release)
+	_, ok = next(t, events).(relay.Replied)
+	is.True(ok)
+}
--- a/internal/ctrl/relayfleet_test.go
+++ b/internal/ctrl/relayfleet_test.go
@@ -286,6 +286,8 @@
 			}
 		case relay.CancelCall:
 			h.cancelled[c.Call] = true
+		case relay.RevokeUnsent:
+			f.after(0, func() { h.tickLane(relay.Revoked{Handle: c.Handle}) })
 		case relay.ConnectionPlan:
 			f.onPlan(h, c)
 		case relay.DelegateCalls:
--- a/internal/daemon/relaylane.go
+++ b/internal/daemon/relaylane.go
@@ -63,6 +63,8 @@
 		l.pool.Start(c)
 	case relay.CancelCall:
 		l.pool.Cancel(c.Call)
+	case relay.RevokeUnsent:
+		l.pool.RevokeUnsent(c.Calls, func() { l.loop.Send(relay.Revoked{Handle: c.Handle}) })
 	case relay.Respond:
 		l.waiting.deliver(c.Handle, c.Answer)
 	case relay.DelegateCalls, relay.CancelDelegated, relay.GuestReplies:
--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -324,3 +325,26 @@
 		})
 	}
 }
+
+// Guards against a request that reached no searcher, because its calls waited for
+// connections until the deadline, and is answered as one that may have run: its caller
+// could then not repeat it. Calls that were sent count as before.
+func TestRequestWithoutSentCallsHasNotRun(t *testing.T) {
+	for _, c := range []struct {
+		unsent bool
+		want   model.Execution
+	}{{true, model.NotRun}, {false, model.MayHaveRun}} {
+		for _, path := range []string{"/one/", "/all/"} {
+			t.Run(fmt.Sprint(path, " unsent ", c.unsent), func(t *testing.T) {
+				is := is.New(t)
+				l := newLane(2, nil)
+				l.unsent = c.unsent
+				h := l.submit(path)
+				l.advance(time.Second)
+				is.Equal(l.answers[h].Kind, Refused)
+				is.Equal(l.answers[h].Refusal.Execution, c.want)
+				is.Equal(l.Running(), 0)
+			})
+		}
+	}
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -102,6 +102,7 @@
 func (CallFailed) event()         {}
 func (CallerDisconnected) event() {}
 func (ViewChanged) event()        {}
+func (Revoked) event()            {}
 
 // Command is an action for the caller to perform after a tick.
 type Command interface{ command() }
@@ -122,6 +123,16 @@
 // CancelCall cancels a call whose reply is no longer needed.
 type CancelCall struct{ Call CallID }
 
+// RevokeUnsent asks for the calls of a request that is given up to be cancelled if they
+// were not sent yet. They are reported as not run, and then Revoked.
+type RevokeUnsent struct {
+	Handle Handle
+	Calls  []CallID
+}
+
+// Revoked reports that a RevokeUnsent is complete.
+type Revoked struct{ Handle Handle }
+
 // Respond sends the answer to a request. It is emitted exactly once per request.
 type Respond struct {
 	Handle Handle
@@ -170,6 +181,7 @@
 
 func (StartCall) command()      {}
 func (CancelCall) command()     {}
+func (RevokeUnsent) command()   {}
 func (Respond) command()        {}
 func (ConnectionPlan) command() {}
 func (LossReport) command()     {}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -5,6 +5,7 @@
 
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/table"
+	"toucanpulley.example/internal/tick"
 )
 
 // hedgeSlowParts is the system that sends a second call for a part whose first
@@ -84,7 +85,7 @@
 	case r.pendingParts == 0 && r.answeredParts >= required, r.answeredParts >= required && !w.Now().Before(r.partialAt):
 		w.respond(id, w.mergedAnswer(r))
 	case r.answeredParts+r.pendingParts < required:
-		w.respond(id, w.failureAnswer(r))
+		w.giveUp(id, r)
 	}
 }
 
@@ -95,7 +96,7 @@
 	case p.state == partAnswered || p.reply.Signature != "":
 		w.respond(id, Answer{Kind: Relayed, Reply: p.reply})
 	default:
-		w.respond(id, w.failureAnswer(r))
+		w.giveUp(id, r)
 	}
 }
 
@@ -154,6 +155,44 @@
 	return newRefusedAnswer(refusal.WithExecution(r.execution())).WithRetryAfter(after)
 }
 
+// giveUp answers a request that cannot be served. Calls that still wait for a
+// connection are revoked first, so that a request that reached no searcher is answered
+// as not run.
+func (w *World) giveUp(id table.ID, r request) {
+	if r.revoking {
+		return
+	}
+	unsent := w.revocableCalls(r)
+	if len(unsent) == 0 {
+		w.respond(id, w.failureAnswer(r))
+		return
+	}
+	w.request.Set(id, r.withRevoking())
+	w.Emit(RevokeUnsent{Handle: r.received.Handle, Calls: unsent})
+}
+
+// revocableCalls returns the calls of a request that this host sends itself.
+func (w *World) revocableCalls(r request) []CallID {
+	var list []CallID
+	for _, row := range r.parts {
+		for _, id := range w.part.Get(row).activeCalls {
+			if w.calls.Has(id) && w.call.Get(id).delegate == 0 {
+				list = append(list, w.calls.Key(id))
+			}
+		}
+	}
+	return list
+}
+
+// answerRevoked is the system that answers requests whose unsent calls were revoked.
+func (w *World) answerRevoked() {
+	tick.Each(w.Inbox(), func(e Revoked) {
+		if id, ok := w.requests.Find(e.Handle); ok {
+			w.respond(id, w.failureAnswer(w.request.Get(id)))
+		}
+	})
+}
+
 // servicesOf returns the services of a request's parts.
 func (w *World) servicesOf(r request) []model.ServiceName {
 	list := make([]model.ServiceName, 0, len(r.parts))
@@ -179,7 +218,7 @@
 		case r.route.Sharded() && r.answeredParts >= r.route.RequiredShards():
 			w.respond(id, w.mergedAnswer(r))
 		case !w.Now().Before(r.deadline):
-			w.respond(id, w.failureAnswer(r))
+			w.giveUp(id, r)
 		}
 	}
 }
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -104,16 +104,23 @@
 }
 
 func (o *oracle) tick(events ...Event) {
+	var revoked []Event
 	for _, c := range o.Tick(o.now, events) {
 		switch c := c.(type) {
 		case StartCall:
 			o.checkCall(c)
 		case CancelCall:
 			delete(o.running, c.Call)
+		case RevokeUnsent:
+			revoked = append(revoked, Revoked{Handle: c.Handle})
 		case Respond:
 			o.checkAnswer(c)
 		}
 	}
+	if len(revoked) > 0 {
+		o.tick(revoked...)
+		return
+	}
 	if next := o.Next(); !next.IsZero() && !next.After(o.now) {
 		o.t.Fatalf("the next wake-up is %v in the past, so the loop would spin", o.now.Sub(next))
 	}
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -162,6 +162,8 @@
 		w.request.Set(p.request, r)
 	}
 	switch {
+	case r.revoking:
+		w.settlePart(c.part, p.withMissing(reason))
 	case len(p.activeCalls) > 0: // another call for the part may still succeed
 	case !r.route.Idempotent && p.attempts > 0, p.attempts >= r.route.Attempts, !w.Now().Before(r.deadline):
 		w.settlePart(c.part, p.withMissing(reason))
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -37,6 +37,9 @@
 	// set if all calls of an earlier wave were lost, or if losses of its fingerprint
 	// were known on arrival.
 	survived, suspect bool
+	// revoking is set while the request, which is given up, waits to learn which of its
+	// calls were not sent.
+	revoking bool
 	// hedgesDenied counts the hedges that the retry budget refused.
 	hedgesDenied int
 }
@@ -52,6 +55,11 @@
 	return r
 }
 
+func (r request) withRevoking() request {
+	r.revoking = true
+	return r
+}
+
 func (r request) withOutcome(answered bool) request {
 	r.pendingParts--
 	if answered {
--- a/internal/relay/world.go
+++ b/internal/relay/world.go
@@ -205,7 +205,7 @@
 	w.guestDelay = table.NewColumn[guestDelay](w.guests)
 	w.guestCall = table.NewColumn[guestCall](w.guestCalls)
 	w.SetSystems(
-		w.grantRetrySlack, w.applyViews, w.applyStop, w.receiveResults, w.failDelegations, w.cancelDisconnected, w.cancelAbandoned,
+		w.grantRetrySlack, w.applyViews, w.applyStop, w.receiveResults, w.failDelegations, w.answerRevoked, w.cancelDisconnected, w.cancelAbandoned,
 		w.admitRequests, w.noticePause, w.admitGuests, w.dispatchWaiting, w.hedgeSlowParts, w.reviewLosses, w.completeRequests,
 		w.expireRequests, w.expireSuspects, w.sendDelegations, w.sendCancellations, w.sendGuestReplies, w.reportStatus, w.armTimers,
 	)
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -20,6 +20,8 @@
 	sent      []StartCall
 	answers   map[Handle]Answer
 	cancelled []CallID
+	// unsent is set if calls wait for a connection.
+	unsent bool
 }
 
 // newLane returns a World in failure domain d1 with the given number of shards,
@@ -63,12 +65,25 @@
 }
 
 func (l *lane) tick(events ...Event) {
+	var revoked []Event
+	defer func() {
+		if len(revoked) > 0 {
+			l.tick(revoked...)
+		}
+	}()
 	for _, c := range l.Tick(l.now, events) {
 		switch c := c.(type) {
 		case StartCall:
 			l.sent = append(l.sent, c)
 		case CancelCall:
 			l.cancelled = append(l.cancelled, c.Call)
+		case RevokeUnsent: // all calls were sent, unless unsent says otherwise
+			for _, id := range c.Calls {
+				if l.unsent {
+					revoked = append(revoked, CallFailed{Call: id, Failure: model.FailureUnsent, NotRun: true})
+				}
+			}
+			revoked = append(revoked, Revoked{Handle: c.Handle})
 		case Respond:
 			l.answers[c.Handle] = c.Answer
 		}
