relay: delegate no calls to services with a searcher nearby

Change: a host that holds connections delegates only calls to services without a searcher in its failure domain.

--- a/internal/relay/apply.go
+++ b/internal/relay/apply.go
@@ -145,7 +145,7 @@
 		name, members := w.services.Key(row), w.service.Get(row).members
 		settings, _ := w.view.Configuration.Service(name)
 		share := w.connectionShare(settings.ConnectionCap)
-		scarce := w.connectionsScarce(settings.ConnectionCap)
+		delegated := w.shards[name] && w.connectionsScarce(settings.ConnectionCap) && !w.reachesDirectly(members)
 		subset := members
 		if share == 0 {
 			share, subset = 1, w.searcherSubset(members)
@@ -155,11 +155,11 @@
 			limits := ConnectionLimits{Searcher: s.registration.Searcher}
 			if slices.Contains(subset, id) && !s.draining {
 				limits.MaxOpen = share
-				if w.view.Settled && w.view.HoldsConnections(w.Host) && (!scarce || s.local) {
+				if w.view.Settled && w.view.HoldsConnections(w.Host) && (!delegated || s.local) {
 					limits.MinOpen = min(minOpenConnections, share)
 				}
 			}
-			w.searcher.Set(id, s.withConnections(limits, scarce && w.shards[name]))
+			w.searcher.Set(id, s.withConnections(limits, delegated))
 			if limits.MaxOpen > 0 {
 				plan.Searchers[w.searchers.Key(id)] = limits
 			}
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -103,18 +103,19 @@
 }
 
 // connectionsScarce reports whether a searcher accepts less than one connection from
-// each host. Then only hosts with a greater share in the failure domain of the
-// searcher hold connections to it, and the others delegate their calls to them: the
-// connections and the messages between failure domains grow with the domains, and not
-// with hosts and shards.
+// each host. Then hosts with a greater share in the failure domain of the searchers
+// take calls of the others: the connections and the messages between failure domains
+// grow with the domains, and not with hosts and shards.
 func (w *World) connectionsScarce(connectionCap int) bool {
 	return connectionCap > 0 && w.view.Joined && float64(connectionCap) < float64(w.view.HostCount)*hostReplacementFactor
 }
 
 // reachesDirectly reports whether this host holds connections to the searchers of a
-// failure domain although these are scarce.
-func (w *World) reachesDirectly(domain model.FailureDomain) bool {
-	return domain == w.FailureDomain && w.view.HoldsConnections(w.Host)
+// service although these are scarce. It does if one of them is in its failure domain,
+// so that only few calls go to others.
+func (w *World) reachesDirectly(members []table.ID) bool {
+	return w.view.HoldsConnections(w.Host) &&
+		slices.ContainsFunc(members, func(id table.ID) bool { return w.searcher.Get(id).local })
 }
 
 // delegates returns the hosts that may take calls to searchers of a failure domain.
@@ -139,7 +140,7 @@
 // flight (power of two choices, Mitzenmacher 2001).
 func (w *World) chooseDelegate(requestID table.ID, r request, s searcher) (model.Host, bool) {
 	domain := s.registration.Searcher.FailureDomain
-	if !r.route.Sharded() || !s.delegated || w.reachesDirectly(domain) {
+	if !r.route.Sharded() || !s.delegated || s.local && w.view.HoldsConnections(w.Host) {
 		return model.Host{}, false
 	}
 	key := delegateChoice{requestID, domain}
