relay, serve: send no call after the deadline of a paused process, forward past a killed holder

Cause: after a pause of the process, a waiting part was sent to a searcher that had become free before the timer of its request ran, whose deadline had passed. And in the product's own path a request was refused as notReady while the only known holder of a seat was a host that had just been killed, though an assigned host ran the service.

Change: the relay world sends no call once the deadline has passed. A request is forwarded to the other assigned hosts once no known holder took it.

Measured: TestNoCallAfterDeadlineOfPausedProcess and TestForwardPastAKilledSeatHolder fail on the code before and pass now.

--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -348,3 +348,22 @@
 		}
 	}
 }
+
+// Guards against a request that waits for a searcher and is sent after its deadline,
+// because the process was paused and a searcher is free when it goes on. Its caller
+// would be told that it may have run, or get two runs after a retry.
+func TestNoCallAfterDeadlineOfPausedProcess(t *testing.T) {
+	is := is.New(t)
+	l := newLane(1, func(v *View, _ *model.Route) {
+		v.Fleet.Registrations = v.Fleet.Registrations[:1]
+		v.HostCount = 18 // one connection to each searcher
+	})
+	l.submit("/one/")
+	waiting := l.submit("/one/")
+	is.Equal(len(l.sent), 1)
+	l.now = l.now.Add(5 * time.Second) // no tick in between
+	l.reply(l.sent[0], "late")
+	is.Equal(len(l.sent), 1)
+	is.Equal(l.answers[waiting].Refusal.Reason, model.ReasonDeadlineExpired)
+	is.Equal(l.answers[waiting].Refusal.Execution, model.NotRun)
+}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -33,12 +33,15 @@
 
 // dispatch starts a call for an open part at the searcher of least expected cost.
 // The part is queued if all usable searchers are full, or if one takes a call soon,
-// and missing if there is no usable searcher.
+// and missing if there is no usable searcher. After a pause of the process the deadline
+// may have passed before the timer of the request has run.
 func (w *World) dispatch(row table.ID) {
 	p := w.part.Get(row)
 	r := w.request.Get(p.request)
 	c := w.chooseSearcher(r, p)
 	switch {
+	case !w.Now().Before(r.deadline):
+		w.settlePart(row, p.withMissing(missingReason(p, c)))
 	case !c.found && (c.busy || w.worthWaiting(r, p.service, c)):
 		w.queuePart(row, c)
 	case !c.found:
--- a/internal/serve/forward.go
+++ b/internal/serve/forward.go
@@ -37,16 +37,22 @@
 
 // forwardTargets returns the hosts to which to forward a request, in order of
 // preference; none if this host runs the service. The order is rotated by the
-// request id to spread the load. If no host is known to hold a seat of the
-// service, the targets are the hosts that are assigned to it.
+// request id to spread the load. Hosts known to hold a seat of the service come
+// first, then the other hosts that are assigned to it: the known holders may be out of
+// date, and one that was killed stays among them until its failure is known.
 func (e *Entry) forwardTargets(v view.View, service model.ServiceName, id model.RequestID) []model.EntryAddress {
 	if v.Runs(service) || e.ForwardSearch == nil {
 		return nil
 	}
-	hosts := v.SeatHolderAddresses(service)
-	if len(hosts) == 0 {
-		hosts = assignedHosts(e.otherHosts(v, service))
-	}
+	holders := v.SeatHolderAddresses(service)
+	others := slices.DeleteFunc(assignedHosts(e.otherHosts(v, service)), func(a model.EntryAddress) bool {
+		return slices.ContainsFunc(holders, func(h model.EntryAddress) bool { return h.Host == a.Host })
+	})
+	return slices.Concat(rotate(holders, id), rotate(others, id))
+}
+
+// rotate returns a list of hosts rotated by the request id.
+func rotate(hosts []model.EntryAddress, id model.RequestID) []model.EntryAddress {
 	if len(hosts) == 0 {
 		return nil
 	}
--- a/internal/serve/forward_test.go
+++ b/internal/serve/forward_test.go
@@ -90,6 +90,26 @@
 	}
 }
 
+// Guards against a request that is refused because the only host known to hold a seat
+// of the service was killed, although another assigned host runs the service.
+func TestForwardPastAKilledSeatHolder(t *testing.T) {
+	is := is.New(t)
+	addresses := []model.EntryAddress{{Host: "a", Weight: 1}, {Host: "b", Weight: 100}, {Host: "c", Weight: 100}}
+	hosts, ran := newTestHosts(t, addresses, "c")
+	e := hosts["a"]
+	e.Views.Store(e.Views.Load().WithMembers([]model.Member{member("b", model.MemberAlive)}).
+		WithSeatHolders(map[model.ServiceName][]model.HostID{"jury-desk": {"b"}}))
+	e.ForwardSearch = func(ctx context.Context, to model.EntryAddress, m *entry.SearchRequest) (*entry.SearchResponse, error) {
+		if to.Host == "b" {
+			return nil, wire.RefusalError(model.NewRefusal(model.ReasonNotReady, "host b could not be reached"))
+		}
+		return hosts[to.Host].ForwardedSearch(ctx, m)
+	}
+	_, err := e.search(context.Background(), &entry.SearchRequest{RequestId: "mine", Account: "dastkar", Service: "jury-desk"}, true)
+	is.NoErr(err)
+	is.Equal(ran["c"], 1)
+}
+
 func member(id model.HostID, state model.MemberState) model.Member {
 	return model.Member{Host: model.Host{ID: id}, State: state}
 }
