--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -102,7 +102,8 @@
 	if e.Failure != model.FailureCancelled && e.Failure != model.FailureDelegate {
 		w.searcher.Set(c.searcher, w.searcher.Get(c.searcher).withLoss(w.Now()))
 		w.log("call failed", "request", c.request, "searcher", w.searchers.Key(c.searcher), "failure", e.Failure.String(),
-			"notRun", e.NotRun, "elapsedMs", milliseconds(w.Now().Sub(c.sent)), "cause", e.Cause)
+			"notRun", e.NotRun, "elapsedMs", milliseconds(w.Now().Sub(c.sent)), "cause", e.Cause,
+			"delegate", w.delegateHosts.Key(c.delegate))
 	}
 	w.Emit(Count{"callFailed", e.Failure.String()})
 	end := callDropped
