relay: large hosts among smaller ones open connections ahead of need at once

A large host that knows smaller ones holds connections whatever other hosts are found, so it need not wait until the known hosts have stopped growing. All hosts that return at once then have connections earlier.

--- a/internal/relay/apply.go
+++ b/internal/relay/apply.go
@@ -140,6 +140,7 @@
 // planConnections sets the connection limits to each searcher so that all hosts
 // together stay below the searcher's cap.
 func (w *World) planConnections() {
+	surelyHolds := w.view.SurelyHoldsConnections(w.Host)
 	plan := ConnectionPlan{Searchers: map[model.SearcherID]ConnectionLimits{}}
 	for row := range w.services.All() {
 		name, members := w.services.Key(row), w.service.Get(row).members
@@ -155,7 +156,7 @@
 			limits := ConnectionLimits{Searcher: s.registration.Searcher}
 			if slices.Contains(subset, id) && !s.draining {
 				limits.MaxOpen = share
-				if w.view.Settled && w.view.HoldsConnections(w.Host) && (!delegated || s.local) {
+				if surelyHolds && (!delegated || s.local) {
 					limits.MinOpen = min(minOpenConnections, share)
 				}
 			}
--- a/internal/relay/guest.go
+++ b/internal/relay/guest.go
@@ -105,7 +105,7 @@
 }
 
 // guestRoute is the name under which the latencies of delegated calls are kept.
-const guestRoute = ""
+const guestRoute = "delegated calls"
 
 // noticePause is the system that notices a pause of the process on a host that takes
 // delegated calls.
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"slices"
 
 	"toucanpulley.example/internal/model"
@@ -52,6 +53,24 @@
 // HoldsConnections reports whether the host is one of ConnectionHosts.
 func (v View) HoldsConnections(host model.HostID) bool { return containsHost(v.ConnectionHosts, host) }
 
+// SurelyHoldsConnections reports whether the host holds connections whatever other
+// hosts are found: the known hosts are complete, or it is a large one among smaller
+// ones.
+func (v View) SurelyHoldsConnections(host model.HostID) bool {
+	if !v.HoldsConnections(host) {
+		return false
+	}
+	largest, smallest, own := 0, math.MaxInt, 0
+	for _, m := range v.KnownHosts {
+		largest, smallest = max(largest, m.Host.Capacity), min(smallest, m.Host.Capacity)
+		if m.Host.ID == host {
+			own = m.Host.Capacity
+		}
+	}
+	limit := largeHostShare * float64(largest)
+	return v.Settled || float64(own) >= limit && float64(smallest) < limit
+}
+
 // HasLargeShare reports whether the host is one of LargeShareHosts.
 func (v View) HasLargeShare(host model.HostID) bool { return containsHost(v.LargeShareHosts, host) }
 
