relay, conns: close connections on demand after their call

The log shows single requests of 80 small hosts to a searcher that takes 66 connections: each host kept its one connection for 30 s.

Change: a host whose part of a cap is below one connection closes a connection after its call. TestRevokeUnsent waits until its first call has arrived; it failed once, because the call could still be without a connection.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -127,7 +127,7 @@
 		b.waiting = b.waiting[1:]
 		p.assign(a, c)
 		return a, true
-	case b.inUse && b.open <= max(b.limits.MaxOpen, 1):
+	case b.inUse && !b.limits.OnDemand && b.open <= max(b.limits.MaxOpen, 1):
 		c.lastUsed = time.Now()
 		b.idle = append(b.idle, c)
 		return nil, true
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -1,6 +1,7 @@
 // Package conns implements a pool of TCP connections to searchers. A connection
 // carries one call at a time. Each searcher has a maximum number of open
-// connections and a minimum number that is opened in advance.
+// connections and a minimum number that is opened in advance. Connections on demand
+// are closed after each call.
 //
 // A Codec encodes calls and decodes replies. A reply is accepted only if it has the
 // request id of the call. Late replies to earlier requests are
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -283,11 +283,11 @@
 // have run, and against a revocation of calls that were sent.
 func TestRevokeUnsent(t *testing.T) {
 	is := is.New(t)
-	release := make(chan struct{})
-	s := newSearcher(t, func(line string) string { <-release; return line + " x\n" })
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
+	s := newSearcher(t, func(line string) string { arrived <- struct{}{}; <-release; return line + " x\n" })
 	p, events := newTestPool(t, s, 0, 1)
 	startCall(p, 1)
-	<-s.accepted
+	<-arrived
 	startCall(p, 2) // waits: one connection is allowed
 	done := make(chan struct{})
 	p.RevokeUnsent([]relay.CallID{1, 2, 3}, func() { close(done) })
@@ -300,3 +300,25 @@
 	_, ok = next(t, events).(relay.Replied)
 	is.True(ok)
 }
+
+// Guards against hosts that keep connections to a searcher which does not take one from
+// each host: it then resets connections of others, with requests on them.
+func TestOnDemandConnectionIsClosedAfterItsCall(t *testing.T) {
+	is := is.New(t)
+	s := newSearcher(t, func(line string) string { return line + " x\n" })
+	p, events := newTestPool(t, s, 0, 1)
+	plan := connectionPlan(s, 0, 1)
+	limits := plan.Searchers["s-1"]
+	limits.OnDemand = true
+	plan.Searchers["s-1"] = limits
+	p.SetPlan(plan)
+	for i := range 2 {
+		startCall(p, i)
+		_, ok := next(t, events).(relay.Replied)
+		is.True(ok)
+		for end := time.Now().Add(10 * time.Second); p.Open("s-1") > 0; time.Sleep(time.Millisecond) {
+			is.True(time.Now().Before(end))
+		}
+	}
+	is.Equal(len(s.accepted), 2)
+}
--- a/internal/relay/apply.go
+++ b/internal/relay/apply.go
@@ -147,13 +147,13 @@
 		settings, _ := w.view.Configuration.Service(name)
 		share := w.connectionShare(settings.ConnectionCap)
 		delegated := w.shards[name] && w.connectionsScarce(settings.ConnectionCap) && !w.reachesDirectly(members)
-		subset := members
-		if share == 0 {
+		subset, onDemand := members, share == 0
+		if onDemand {
 			share, subset = 1, w.searcherSubset(members)
 		}
 		for _, id := range members {
 			s := w.searcher.Get(id)
-			limits := ConnectionLimits{Searcher: s.registration.Searcher}
+			limits := ConnectionLimits{Searcher: s.registration.Searcher, OnDemand: onDemand}
 			if slices.Contains(subset, id) && !s.draining {
 				limits.MaxOpen = share
 				if surelyHolds && (!delegated || s.local) {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -151,6 +151,9 @@
 	Searcher model.Searcher
 	MinOpen  int
 	MaxOpen  int
+	// OnDemand is set if connections are closed after each call, because the searcher
+	// does not take one from each host.
+	OnDemand bool
 }
 
 // LossReport tells the other hosts that a request may crash searchers. Losses is
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -172,6 +172,7 @@
 	})
 	id, _ := l.searchers.Find("shard-0/d1")
 	is.Equal(l.searcher.Get(id).connections.MaxOpen, 1)
+	is.True(l.searcher.Get(id).connections.OnDemand) // the cap of 20 is less than the hosts
 }
 
 // TestCancelledCallDispatchesQueuedPart guards against a queued part that is not
