ctrl: publish the view once the host has joined

Cause: a host whose peers were known from probes before one of them sent its members kept the assumed number of 64 hosts, because the list changed nothing: one connection to each searcher and a small part of the retry budget, for as long as nothing else changed.

Change: a change of the joined state publishes a view.

--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -68,7 +68,9 @@
 	view  relay.View
 	dirty bool
 
-	leaving    bool
+	leaving bool
+	// joined and standalone are those of the view.
+	joined     bool
 	standalone bool
 	role       feed.RoleAssigned
 	// settled is set once the number of members has not grown for settleDelay since
@@ -282,11 +284,11 @@
 	if !w.Member.Joined() && !standalone {
 		w.WakeAt(w.StartTime().Add(standaloneDelay))
 	}
-	settled := w.checkSettled()
-	if !w.dirty && standalone == w.standalone && settled == w.settled {
+	settled, joined := w.checkSettled(), w.Member.Joined() || standalone
+	if !w.dirty && joined == w.joined && standalone == w.standalone && settled == w.settled {
 		return
 	}
-	w.standalone, w.settled = standalone, settled
+	w.standalone, w.settled, w.joined = standalone, settled, joined
 	w.dirty = false
 	var serving, known []model.Member
 	for id := range w.members.All() {
@@ -298,7 +300,6 @@
 			serving = append(serving, m)
 		}
 	}
-	joined := w.Member.Joined() || standalone
 	hostCount := len(known)
 	if standalone {
 		// The hosts that the store lists may be running, but unreachable for this one.
--- a/internal/ctrl/relay_test.go
+++ b/internal/ctrl/relay_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"toucanpulley.example/internal/ctrl"
+	"toucanpulley.example/internal/member"
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/relay"
 )
@@ -122,3 +123,18 @@
 	a.deliver(at.Add(time.Second), b)
 	is.Equal(b.view.Suspects[7].Losses, 1)
 }
+
+// Guards against a host that keeps the assumed number of hosts, and so a small part of
+// connections and retry budget, because its peers were known from probes before one of
+// them sent its members, and the list brought nothing new.
+func TestJoinWithoutNewMembersIsPublished(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	a, b := newRelayPair(at)
+	at = at.Add(time.Second) // the members count as complete
+	a.tick(at)
+	is.True(!a.view.Joined)
+	a.tick(at, ctrl.MemberEvent{Event: member.MembersReceived{From: "b", Members: b.Member.Members()}})
+	is.True(a.view.Joined)
+	is.Equal(a.view.HostCount, 2)
+}
--- a/stand/shard/shard.go
+++ b/stand/shard/shard.go
@@ -117,6 +117,9 @@
 	// share of shards in it.
 	TopK        int
 	MinCoverage float64
+	// ConnectionCap is the number of connections that each searcher takes from all
+	// hosts; zero if it has no limit.
+	ConnectionCap int
 }
 
 // Configuration returns a configuration in the JSON form that operators write.
@@ -139,7 +142,7 @@
 		list = append(list, e)
 		for _, s := range append([]string{r.Service}, r.Shards...) {
 			if s != "" {
-				services = append(services, jsonObject{"name": s})
+				services = append(services, jsonObject{"name": s, "max-connections": r.ConnectionCap})
 			}
 		}
 	}
