--- a/review/tools/client.go
+++ b/review/tools/client.go
@@ -65,7 +65,7 @@
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(start.Add(a.budget))
 	var head strings.Builder
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", a.method, a.path, hostName, a.id, a.budget.Milliseconds())
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n%s: %d\r\n", a.method, a.path, hostName, a.id, wire.Deadline, a.budget.Milliseconds())
 	if a.method != http.MethodGet {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(a.body))
 	}
--- a/review/tools/crashes.go
+++ b/review/tools/crashes.go
@@ -90,9 +90,7 @@
 // startHosts writes the manifest, starts the hosts with the given seeds and waits until
 // they are in touch and know each other.
 func (c *crashes) startHosts(seeds []int) error {
-	c.site.manifest(1, []map[string]any{{"name": "hearing-room", "health-path": "/health", "max-connections": 96}},
-		route{"name": "file", "host": hostName, "path-prefix": "/file/", "kind": "safe", "service": "hearing-room", "timeout-ms": 2000,
-			"target-latency-ms": 500, "max-attempts": 2, "priority": 2})
+	c.site.manifest(1, newServices("hearing-room"), newRoute("file", kindSafe, "hearing-room", 2*time.Second, 500*time.Millisecond))
 	for i := range crashHosts {
 		if _, err := c.site.startHost(i, seeds); err != nil {
 			return err
--- a/review/tools/early.go
+++ b/review/tools/early.go
@@ -19,6 +19,7 @@
 	earlyReadAfter   = 2 * time.Second
 	longRequestBytes = 200_000
 	peekTimeout      = 600 * time.Millisecond
+	peekTarget       = 100 * time.Millisecond
 	// answerSlack is how long after its route's timeout a request may be unanswered, and
 	// lateMin and lateShare say how many may be late.
 	answerSlack = 500 * time.Millisecond
@@ -62,17 +63,10 @@
 			return false, err
 		}
 	}
-	services := []map[string]any{
-		{"name": "hearing-room", "health-path": "/health", "max-connections": 96},
-		{"name": "artisan-notify", "health-path": "/health", "max-connections": 96},
-	}
-	s.manifest(1, services,
-		route{"name": "peek", "host": hostName, "path-prefix": "/peek/", "kind": "safe", "service": "hearing-room", "timeout-ms": peekTimeout.Milliseconds(),
-			"target-latency-ms": 100, "max-attempts": 2, "priority": 1},
-		route{"name": "notice", "host": hostName, "path-prefix": "/notice/", "kind": "safe", "service": "artisan-notify", "timeout-ms": peekTimeout.Milliseconds(),
-			"target-latency-ms": 100, "max-attempts": 2, "priority": 1},
-		route{"name": "file", "host": hostName, "path-prefix": "/file/", "kind": "safe", "service": "hearing-room", "timeout-ms": 4000,
-			"target-latency-ms": 500, "max-attempts": 2, "priority": 2})
+	s.manifest(1, newServices("hearing-room", "artisan-notify"),
+		newRoute("peek", kindSafe, "hearing-room", peekTimeout, peekTarget),
+		newRoute("notice", kindSafe, "artisan-notify", peekTimeout, peekTarget),
+		newRoute("file", kindSafe, "hearing-room", 4*time.Second, 500*time.Millisecond))
 	for i := range 3 {
 		if _, err := s.startHost(i, []int{0, 1, 2}); err != nil {
 			return false, err
--- a/review/tools/halfclose.go
+++ b/review/tools/halfclose.go
@@ -33,9 +33,7 @@
 			return false, err
 		}
 	}
-	s.manifest(1, []map[string]any{{"name": "hearing-room", "health-path": "/health", "max-connections": 96}},
-		route{"name": "file", "host": hostName, "path-prefix": "/file/", "kind": "unsafe", "service": "hearing-room", "timeout-ms": 4000,
-			"target-latency-ms": 500, "max-attempts": 2, "priority": 2})
+	s.manifest(1, newServices("hearing-room"), newRoute("file", kindUnsafe, "hearing-room", 4*time.Second, 500*time.Millisecond))
 	for i := range 3 {
 		if _, err := s.startHost(i, []int{0, 1, 2}); err != nil {
 			return false, err
@@ -55,7 +53,7 @@
 		} else {
 			a.send()
 		}
-		s.record.add("client, leaves %v: %v, stamp %q, %d bytes", leaves, a, a.header.Get("X-Server-Stamp"), len(a.answer))
+		s.record.add("client, leaves %v: %v, stamp %q, %d bytes", leaves, a, a.header.Get(wire.Stamp), len(a.answer))
 		mu.Lock()
 		defer mu.Unlock()
 		if leaves {
@@ -63,7 +61,7 @@
 		}
 		if a.status >= 200 && a.status < 300 {
 			served++
-			if a.header.Get("X-Server-Stamp") == "" {
+			if a.header.Get(wire.Stamp) == "" {
 				unstamped++
 				s.record.add("SUCCESS WITHOUT STAMP: %s", a.id)
 			}
@@ -84,8 +82,8 @@
 		return
 	}
 	defer func() { _ = c.Close() }()
-	_, a.err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		a.method, a.path, hostName, a.id, a.budget.Milliseconds(), len(a.body), a.body)
+	_, a.err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		a.method, a.path, hostName, a.id, wire.Deadline, a.budget.Milliseconds(), len(a.body), a.body)
 	if a.err != nil {
 		return
 	}
--- a/review/tools/impatient.go
+++ b/review/tools/impatient.go
@@ -61,7 +61,7 @@
 		a.err = err
 		return
 	}
-	_, a.err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n\r\n", a.method, a.path, hostName, a.id, a.budget.Milliseconds())
+	_, a.err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n%s: %d\r\n\r\n", a.method, a.path, hostName, a.id, wire.Deadline, a.budget.Milliseconds())
 	time.Sleep(after)
 	_ = c.Close()
 }
--- a/review/tools/refused.go
+++ b/review/tools/refused.go
@@ -16,9 +16,9 @@
 	greyStatus = http.StatusServiceUnavailable
 )
 
-// failedRuns: searchers run requests and fail a part of them, with a status and their stamp
-// and without X-Not-Executed. A request that is not idempotent and has run must not be
-// answered 429 or 503, which promise that it has not run.
+// failedRuns: searchers run requests and fail a part of them, with a status and their
+// stamp, and do not say that the request has not run. A request that is not idempotent and
+// has run must not be answered 429 or 503, which promise that it has not run.
 func failedRuns(s *site, trouble bool) (bool, error) {
 	var mu sync.Mutex
 	ran := map[string]int{}
@@ -34,7 +34,7 @@
 			mu.Unlock()
 			time.Sleep(20 * time.Millisecond)
 			if fail {
-				s.record.add("searcher %s ran %s and failed it with %d, its stamp, and no X-Not-Executed", x.id, id, greyStatus)
+				s.record.add("searcher %s ran %s and failed it with %d, its stamp, and nothing that says that it has not run", x.id, id, greyStatus)
 				return reply{status: greyStatus, header: []string{x.stamp(r)}, body: []byte("failed")}
 			}
 			s.record.add("searcher %s ran %s", x.id, id)
@@ -44,9 +44,7 @@
 			return false, err
 		}
 	}
-	s.manifest(1, []map[string]any{{"name": "hearing-room", "health-path": "/health", "max-connections": 96}},
-		route{"name": "file", "host": hostName, "path-prefix": "/file/", "kind": "unsafe", "service": "hearing-room", "timeout-ms": 4000,
-			"target-latency-ms": 500, "max-attempts": 2, "priority": 2})
+	s.manifest(1, newServices("hearing-room"), newRoute("file", kindUnsafe, "hearing-room", 4*time.Second, 500*time.Millisecond))
 	for i := range 3 {
 		if _, err := s.startHost(i, []int{0, 1, 2}); err != nil {
 			return false, err
--- a/review/tools/searcher.go
+++ b/review/tools/searcher.go
@@ -93,7 +93,7 @@
 	s.sequence++
 	return map[string]any{
 		"service": s.service, "address": s.listener.Addr().String(), "zone": s.zone, "version": "1", "slots": s.slots,
-		"state": state, "warmup-left-ms": 0, "sequence": s.sequence, "born": s.born,
+		"state": state, wire.WarmUpLeft: 0, "sequence": s.sequence, "born": s.born,
 	}
 }
 
@@ -179,9 +179,9 @@
 // answer reads the rest of a request and answers it. It reports whether the connection
 // can carry another request.
 func (s *searcher) answer(c net.Conn, r *http.Request, last bool) bool {
-	if r.Header.Get("X-Expect-Instance") != s.id {
+	if r.Header.Get(wire.Instance) != s.id {
 		_, _ = io.Copy(io.Discard, r.Body)
-		return s.write(c, r, reply{status: http.StatusMisdirectedRequest, header: []string{"X-Not-Executed: 1"}}, last)
+		return s.write(c, r, reply{status: http.StatusMisdirectedRequest, header: []string{wire.NotRun + ": 1"}}, last)
 	}
 	if s.arrived != nil {
 		s.arrived(r)
@@ -201,7 +201,7 @@
 		return false
 	}
 	if !s.takeSlot() {
-		return s.write(c, r, reply{status: http.StatusServiceUnavailable, header: []string{"X-Not-Executed: 1"}}, last)
+		return s.write(c, r, reply{status: http.StatusServiceUnavailable, header: []string{wire.NotRun + ": 1"}}, last)
 	}
 	answer := s.serve(r, body)
 	<-s.slot
@@ -244,5 +244,5 @@
 
 // stamp returns the header with the searcher's signature.
 func (s *searcher) stamp(r *http.Request) string {
-	return "X-Server-Stamp: " + s.id + "." + r.Header.Get("X-Request-Id")
+	return wire.Stamp + ": " + s.id + "." + r.Header.Get("X-Request-Id")
 }
--- a/review/tools/site.go
+++ b/review/tools/site.go
@@ -107,7 +107,7 @@
 		return nil, err
 	}
 	h.command = exec.Command("target/toucanpulley", "platform")
-	h.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", "TOUCANPULLEY_BOOT=" + h.settings}
+	h.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", wire.SettingsFile + "=" + h.settings}
 	h.command.Stdout, h.command.Stderr = h.log, h.log
 	if err := h.command.Start(); err != nil {
 		return nil, err
@@ -133,7 +133,7 @@
 }
 
 func (h *entryHost) isReady() bool {
-	status, _, err := get(h.ready, "/api/ready", time.Second)
+	status, _, err := get(h.ready, wire.ReadyPath, time.Second)
 	return err == nil && status == 200
 }
 
@@ -173,9 +173,6 @@
 	}
 }
 
-// route is a route of the manifest.
-type route map[string]any
-
 // manifest writes a version of the manifest with the given routes and services.
 func (s *site) manifest(version int, services []map[string]any, routes ...route) {
 	s.store.put("config", "main", map[string]any{
--- a/review/tools/store.go
+++ b/review/tools/store.go
@@ -111,7 +111,7 @@
 
 // ServeHTTP serves the calls that entry hosts make: lists, watches, reads and creates.
 func (s *objectStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, wire.ObjectsPath), "/")
 	w.Header().Set("Content-Type", "application/json")
 	q := r.URL.Query()
 	switch {
