relay: count searchers that crash after their request has ended

Cause: lost calls were counted in the row of their request. The row is removed when the caller leaves, while the calls go on for 200 ms; endCall dropped a loss in that time. The same holds for a request that ends at its deadline, at the end of a shutdown, or because its coverage cannot be reached. Evidence: the hosts log 'call failed' with 'lost' after 'caller went away', and suspect.waveLost stays 0.

The calls in flight of a request are now an entity of their own, the wave, which outlives the request until its last call has ended. A wave that was counted when its request ended is not counted twice, and a success that comes later clears the losses.

--- a/internal/ctrl/crash_test.go
+++ b/internal/ctrl/crash_test.go
@@ -147,3 +147,50 @@
 		}
 	}
 }
+
+// Guards against a request that crashes searchers and is never refused, because each of
+// its callers leaves, or reaches its deadline, before the searcher crashes.
+func TestCrashingRequestOfImpatientCallers(t *testing.T) {
+	const hosts, leaveAfter = 7, 10 * time.Millisecond
+	budget := relay.RetryBudget{RetryShare: 0.2, RetrySlack: 1000, RetryWindow: 10 * time.Second}
+	single := model.Route{
+		Timeout: 2 * time.Second, TargetLatency: 500 * time.Millisecond, Attempts: 2, Idempotent: true,
+		Shares: []model.Share{{Service: "s", Weight: 1}},
+	}
+	short := single
+	short.Timeout = leaveAfter
+	sharded := model.Route{
+		Timeout: 600 * time.Millisecond, TargetLatency: 80 * time.Millisecond, Attempts: 2, Idempotent: true,
+		Shards: shardNames(8), TopK: 3, MinCoverage: 0.75,
+	}
+	for _, c := range []struct {
+		name   string
+		route  model.Route
+		leaves bool
+	}{
+		{"one searcher, caller leaves", single, true},
+		{"one searcher, deadline", short, false},
+		{"sharded, caller leaves", sharded, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRelayFleet(hosts, c.route, budget)
+			f.outcome = func(c relay.StartCall) relay.Event {
+				return relay.CallFailed{Call: c.Call, Failure: model.FailureLost}
+			}
+			for i := 0; f.now.Sub(epoch) < 60*time.Second; i++ {
+				h := f.hosts[f.random.IntN(hosts)]
+				h.submit(model.RequestID(fmt.Sprint("r-", i)))
+				f.run(leaveAfter)
+				if c.leaves {
+					h.tickLane(relay.CallerDisconnected{Handle: h.handle})
+				}
+				f.run(500*time.Millisecond - leaveAfter)
+			}
+			is.True(len(f.ended) >= 3)
+			if n := f.lateRetries(); n > maxLateRetries {
+				t.Errorf("%d retries reached searchers late; %d searchers ended", n, len(f.ended))
+			}
+		})
+	}
+}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -96,17 +96,20 @@
 		w.requestTimers.Add(r.partialAt, id)
 	}
 	w.requestTimers.Add(r.deadline, id)
+	r.wave, _ = w.waves.Add(q.Handle)
+	w.wave.Set(r.wave, wave{request: id, requestID: q.ID, fingerprint: q.Fingerprint})
 	for i, name := range services {
 		row, _ := w.parts.Add(partKey{id, i})
 		w.part.Set(row, part{request: id, service: w.serviceRow(name)})
 		r = r.withPart(row)
 	}
 	if w.findSuspect(q.Fingerprint).Losses > 0 {
-		w.request.Set(id, r.withSuspect())
+		w.request.Set(id, r)
+		w.wave.Set(r.wave, w.wave.Get(r.wave).withSuspect())
 		for _, row := range r.parts {
 			w.holdPart(row)
 		}
-		w.reviewQueue = append(w.reviewQueue, id)
+		w.reviewQueue = append(w.reviewQueue, r.wave)
 		return
 	}
 	w.request.Set(id, r)
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -158,9 +158,10 @@
 	r := w.request.Get(p.request)
 	w.lastCall++
 	id, _ := w.calls.Add(w.lastCall)
-	c := call{part: row, searcher: to, stats: r.stats, request: r.received.ID, sent: w.Now(), hedge: hedge}
+	c := call{part: row, wave: r.wave, searcher: to, stats: r.stats, request: r.received.ID, sent: w.Now(), hedge: hedge}
 	w.part.Set(row, p.withCall(id, to))
 	w.request.Set(p.request, r.withCall())
+	w.wave.Set(r.wave, w.wave.Get(r.wave).withCall())
 	s := w.searcher.Get(to).withCall(w.Now())
 	w.searcher.Set(to, s)
 	if r.route.Idempotent && !hedge {
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -34,7 +34,7 @@
 	}
 	c := w.chooseSearcher(r, p)
 	switch {
-	case r.maybeCrashing(), !c.found && c.busy:
+	case w.maybeCrashing(r), !c.found && c.busy:
 		w.hedgeTimers.Add(w.Now().Add(hedgeRetryDelay), row)
 	case !c.found && !c.availableAt.IsZero():
 		w.hedgeTimers.Add(c.availableAt, row)
@@ -227,9 +227,7 @@
 // after abandonedCallTime.
 func (w *World) respond(id table.ID, a Answer) {
 	r := w.request.Get(id)
-	if r.unresolved(w.Now()) {
-		w.countLostWave(id, r)
-	}
+	w.endRequestWave(r)
 	w.Emit(Respond{Handle: r.received.Handle, Answer: a})
 	w.logAnswer(r, a)
 	for _, row := range r.parts {
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -138,7 +138,7 @@
 		}
 		r := o.request.Get(p.request)
 		switch {
-		case p.held && (r.activeCalls > 0 || o.hasQueuedPart(r)):
+		case p.held && (o.wave.Get(r.wave).activeCalls > 0 || o.hasQueuedPart(r)):
 		case p.held || !p.waiting:
 			o.t.Fatalf("a part of %s has no call and is not queued (held: %t)", r.received.ID, p.held)
 		default:
@@ -387,8 +387,8 @@
 			o.tick()
 			o.now = o.now.Add(time.Second)
 		}
-		if len(o.unanswered) > 0 || o.Running() > 0 || o.calls.Len() > 0 {
-			t.Fatalf("%d requests and %d calls did not end", len(o.unanswered), o.calls.Len())
+		if len(o.unanswered) > 0 || o.Running() > 0 || o.calls.Len() > 0 || o.waves.Len() > 0 {
+			t.Fatalf("%d requests, %d calls and %d waves did not end", len(o.unanswered), o.calls.Len(), o.waves.Len())
 		}
 	})
 }
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -118,8 +118,7 @@
 	w.retryOrSettle(id, c, reason, model.MissingLost, e.NotRun)
 }
 
-// endCall removes a call and updates the statistics of its searcher and the
-// counters of its request.
+// endCall removes a call and updates the statistics of its searcher and its wave.
 func (w *World) endCall(id table.ID, c call, took time.Duration, end callEnd) {
 	failed := end != callSucceeded
 	s := w.searcher.Get(c.searcher)
@@ -136,16 +135,7 @@
 		w.guestCalls.Remove(c.guest)
 		return
 	}
-	if !w.parts.Has(c.part) {
-		return
-	}
-	requestID := w.part.Get(c.part).request
-	r := w.request.Get(requestID).withEndedCall(end == callLost)
-	w.request.Set(requestID, r)
-	if !r.survived && end == callSucceeded {
-		w.markSurvived(requestID, r)
-	}
-	w.reviewQueue = append(w.reviewQueue, requestID)
+	w.updateWave(c.wave, end)
 }
 
 // retryOrSettle records a failed call on its part. It retries the part at another
@@ -168,7 +158,7 @@
 	case len(p.activeCalls) > 0: // another call for the part may still succeed
 	case !r.route.Idempotent && p.attempts > 0, p.attempts >= r.route.Attempts, !w.Now().Before(r.deadline):
 		w.settlePart(c.part, p.withMissing(reason))
-	case r.maybeCrashing():
+	case w.maybeCrashing(r):
 		w.part.Set(c.part, p.withRetryReason(retry))
 		w.holdPart(c.part)
 	default:
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -27,16 +27,11 @@
 	// mayHaveRun counts the calls that a searcher may have run.
 	mayHaveRun      int
 	hedges, retries int
-	// activeCalls counts the calls without an outcome, and lostCalls the calls of
-	// the current wave that were lost with their connections.
-	activeCalls, lostCalls int
+	// wave is the row of the request's calls in flight.
+	wave table.ID
 	// heldParts counts the parts that are held until a searcher survives the
 	// request.
 	heldParts int
-	// survived is set once a searcher ran the request without crashing. suspect is
-	// set if all calls of an earlier wave were lost, or if losses of its fingerprint
-	// were known on arrival.
-	survived, suspect bool
 	// revoking is set while the request, which is given up, waits to learn which of its
 	// calls were not sent.
 	revoking bool
@@ -75,54 +70,16 @@
 }
 
 func (r request) withCall() request {
-	r.activeCalls++
 	r.mayHaveRun++
 	return r
 }
 
-// withEndedCall returns the request after the end of a call.
-func (r request) withEndedCall(lost bool) request {
-	r.activeCalls--
-	if lost {
-		r.lostCalls++
-	}
-	return r
-}
-
-// withLostWave returns the request as a suspect at the start of its next wave of
-// calls.
-func (r request) withLostWave() request {
-	r.lostCalls, r.suspect = 0, true
-	return r
-}
-
 // withHeldParts returns the request with n more held parts; n may be negative.
 func (r request) withHeldParts(n int) request {
 	r.heldParts += n
 	return r
 }
 
-func (r request) withSuspect() request {
-	r.suspect = true
-	return r
-}
-
-// maybeCrashing reports whether another call might crash another searcher.
-func (r request) maybeCrashing() bool { return !r.survived && (r.lostCalls > 0 || r.suspect) }
-
-// unresolved reports whether the last wave of a request that may crash searchers
-// has neither succeeded nor been counted as lost. At the deadline, the calls of a
-// suspect that are still in flight count as lost: a searcher that fails with its
-// machine closes no connection.
-func (r request) unresolved(now time.Time) bool {
-	return !r.survived && (r.lostCalls > 0 || r.suspect && r.activeCalls > 0 && !now.Before(r.deadline))
-}
-
-func (r request) withSurvived() request {
-	r.survived = true
-	return r
-}
-
 func (r request) withHedge() request {
 	r.hedges++
 	return r
@@ -231,6 +188,7 @@
 // part: it then goes on until it ends or is cancelled.
 type call struct {
 	part     table.ID
+	wave     table.ID
 	searcher table.ID
 	stats    table.ID
 	request  model.RequestID
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -71,40 +71,43 @@
 	queued := w.reviewQueue
 	w.reviewQueue = w.reviewQueue[:0]
 	for _, id := range queued {
-		w.reviewRequest(id)
+		w.reviewWave(id)
 	}
-	for i := 0; i < len(w.settledRequests); i++ { // reviewRequest may append
-		w.reviewRequest(w.settledRequests[i])
+	for i := 0; i < len(w.settledRequests); i++ { // reviewWave may append
+		w.reviewWave(w.request.Get(w.settledRequests[i]).wave)
 	}
 }
 
-// reviewRequest decides whether to release the held parts of a request or to
-// record a lost wave.
-func (w *World) reviewRequest(id table.ID) {
-	if !w.requests.Has(id) {
+// reviewWave decides whether to release the held parts of a request or to record a
+// lost wave. It removes the wave of a request that has ended.
+func (w *World) reviewWave(id table.ID) {
+	if !w.waves.Has(id) {
 		return
 	}
-	r := w.request.Get(id)
+	v := w.wave.Get(id)
 	switch {
-	case r.survived:
-		w.releaseParts(id, len(r.parts))
-	case r.activeCalls > 0:
-	case r.lostCalls > 0:
-		w.recordLostWave(id, r)
-	case r.suspect:
-		w.releaseParts(id, 1)
+	case v.survived:
+		w.releaseParts(v.request, len(w.request.Get(v.request).parts))
+	case v.activeCalls > 0:
+	case v.lostCalls > 0:
+		w.recordLostWave(id, v)
+	case v.suspect:
+		w.releaseParts(v.request, 1)
+	}
+	if v.activeCalls == 0 && !w.requests.Has(v.request) {
+		w.waves.Remove(id)
 	}
 }
 
 // recordLostWave records a wave of which calls were lost and none succeeded. It
 // releases one more part unless the request has reached quarantineWaves.
-func (w *World) recordLostWave(id table.ID, r request) {
-	n := w.countLostWave(id, r)
+func (w *World) recordLostWave(id table.ID, v wave) {
+	n := w.countLostWave(id, v)
 	if n < quarantineWaves {
-		w.releaseParts(id, 1)
+		w.releaseParts(v.request, 1)
 		return
 	}
-	for _, row := range r.parts {
+	for _, row := range w.request.Get(v.request).parts {
 		if p := w.part.Get(row); p.held {
 			w.unholdPart(row)
 			w.settlePart(row, w.part.Get(row).withMissing(model.MissingSuspect))
@@ -114,13 +117,14 @@
 
 // countLostWave counts a lost wave of a request and returns the number of its lost
 // waves over all hosts.
-func (w *World) countLostWave(id table.ID, r request) int {
-	f := r.received.Fingerprint
+func (w *World) countLostWave(id table.ID, v wave) int {
+	f := v.fingerprint
 	n := w.findSuspect(f).Losses + 1
-	w.request.Set(id, r.withLostWave())
+	w.wave.Set(id, v.withCounted())
 	w.Emit(Count{"suspect", "waveLost"})
-	w.log("searchers lost while they ran a request", "request", r.received.ID, "fingerprint", f, "calls", r.lostCalls,
-		"unanswered", r.activeCalls, "waves", n, "quarantined", n >= quarantineWaves)
+	w.log("searchers lost while they ran a request", "request", v.requestID, "fingerprint", f, "calls", v.lostCalls,
+		"unanswered", v.activeCalls, "waves", n, "quarantined", n >= quarantineWaves,
+		"answered", !w.requests.Has(v.request))
 	if f != 0 {
 		w.addSuspect(f, n)
 	}
@@ -141,7 +145,7 @@
 	w.suspect.Set(row, Suspect{Losses: losses, At: w.Now()})
 }
 
-// holdPart defers the dispatch of a part until reviewRequest releases it.
+// holdPart defers the dispatch of a part until reviewWave releases it.
 func (w *World) holdPart(row table.ID) {
 	p := w.part.Get(row)
 	w.part.Set(row, p.withHeld(true))
@@ -154,7 +158,8 @@
 	w.request.Set(p.request, w.request.Get(p.request).withHeldParts(-1))
 }
 
-// releaseParts dispatches at most the given number of held parts.
+// releaseParts dispatches at most the given number of held parts of a request. It does
+// nothing for a request that has ended.
 func (w *World) releaseParts(id table.ID, limit int) {
 	r := w.request.Get(id)
 	if r.heldParts == 0 {
@@ -172,15 +177,15 @@
 
 // markSurvived records that a searcher survived the request, and tells the other
 // hosts if it was a suspect.
-func (w *World) markSurvived(id table.ID, r request) {
-	if r.suspect {
-		w.log("searcher survived a suspect", "request", r.received.ID, "fingerprint", r.received.Fingerprint)
+func (w *World) markSurvived(id table.ID, v wave) {
+	if v.suspect {
+		w.log("searcher survived a suspect", "request", v.requestID, "fingerprint", v.fingerprint)
 	}
-	if f := r.received.Fingerprint; w.findSuspect(f).Losses > 0 {
+	if f := v.fingerprint; w.findSuspect(f).Losses > 0 {
 		w.survivedAt.Put(f, w.Now())
 		w.Emit(SurvivalReport{Fingerprint: f})
 	}
-	w.request.Set(id, r.withSurvived())
+	w.wave.Set(id, v.withSurvived())
 }
 
 // forgetSurvived removes the suspects of this lane that the new view no longer
--- a/internal/relay/suspects_test.go
+++ b/internal/relay/suspects_test.go
@@ -164,6 +164,93 @@
 	}
 }
 
+// TestLossAfterTheRequestIsCounted guards against forgetting a searcher that crashes
+// shortly after its caller has left, or after the request has ended in another way.
+// Each repetition of the request would crash another searcher.
+func TestLossAfterTheRequestIsCounted(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		path string
+		end  func(l *lane, h Handle)
+	}{
+		{"caller leaves", "/one/x", func(l *lane, h Handle) { l.tick(CallerDisconnected{Handle: h}) }},
+		{"caller of a sharded request leaves", "/all/x", func(l *lane, h Handle) { l.tick(CallerDisconnected{Handle: h}) }},
+		{"deadline", "/one/x", func(l *lane, _ Handle) { l.advance(time.Second) }},
+		{"coverage cannot be reached", "/all/x", func(*lane, Handle) {}},
+		{"shutdown", "/one/x", func(l *lane, _ Handle) {
+			l.tick(Stopping{AnswerBy: l.now.Add(10 * time.Millisecond)})
+			l.advance(10 * time.Millisecond)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLane(2, func(v *View, r *model.Route) {
+				if c.name == "coverage cannot be reached" {
+					r.MinCoverage = 1
+					v.Fleet.Registrations = v.Fleet.Registrations[:2] // none for the second shard
+				}
+			})
+			l.advance(l.RetryBudget.RetryWindow)
+			h := l.submitWithFingerprint(c.path, crashingFingerprint)
+			c.end(l, h)
+			is.Equal(l.Running(), 0)
+			is.Equal(l.findSuspect(crashingFingerprint).Losses, 0)
+			l.advance(50 * time.Millisecond)
+			for _, call := range l.sent {
+				l.lose(call)
+			}
+			is.Equal(l.findSuspect(crashingFingerprint).Losses, 1)
+			is.Equal(l.waves.Len(), 0)
+		})
+	}
+}
+
+// TestRequestOfImpatientCallersIsQuarantined guards against a request that is never
+// refused, because each of its callers leaves before the searcher crashes.
+func TestRequestOfImpatientCallersIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	l := newLane(4, nil)
+	l.advance(l.RetryBudget.RetryWindow)
+	lost := 0
+	for range 20 {
+		first := len(l.sent)
+		h := l.submitWithFingerprint("/all/x", crashingFingerprint)
+		l.tick(CallerDisconnected{Handle: h})
+		for _, c := range l.sent[first:] {
+			l.lose(c)
+			lost++
+		}
+	}
+	is.Equal(lost, 4+quarantineWaves-1)
+	is.Equal(l.answers[l.submitWithFingerprint("/all/x", crashingFingerprint)].Refusal.Reason, model.ReasonQuarantined)
+}
+
+// TestWaveOfAnEndedRequestIsCountedOnce guards against a request that is refused after
+// too few losses, because the losses before and after its end count separately, or
+// although a searcher has survived it.
+func TestWaveOfAnEndedRequestIsCountedOnce(t *testing.T) {
+	for _, survives := range []bool{false, true} {
+		t.Run(fmt.Sprint("a searcher survives: ", survives), func(t *testing.T) {
+			is := is.New(t)
+			l := newLane(4, nil)
+			l.advance(l.RetryBudget.RetryWindow)
+			h := l.submitWithFingerprint("/all/x", crashingFingerprint)
+			l.lose(l.sent[0])
+			l.tick(CallerDisconnected{Handle: h})
+			is.Equal(l.findSuspect(crashingFingerprint).Losses, 1)
+			l.lose(l.sent[1])
+			want := 1
+			if survives {
+				l.reply(l.sent[2], record("a"))
+				want = 0
+			}
+			l.advance(time.Second)
+			is.Equal(l.findSuspect(crashingFingerprint).Losses, want)
+			is.Equal(l.waves.Len(), 0)
+		})
+	}
+}
+
 // TestSuspectOfACallerThatLeavesIsNotLost guards against counting the call of a
 // suspect as lost only because its caller did not wait for the reply.
 func TestSuspectOfACallerThatLeavesIsNotLost(t *testing.T) {
--- a/internal/relay/world.go
+++ b/internal/relay/world.go
@@ -129,6 +129,8 @@
 
 	requests *table.Table[Handle]
 	request  *table.Column[request]
+	waves    *table.Table[Handle]
+	wave     *table.Column[wave]
 	parts    *table.Table[partKey]
 	part     *table.Column[part]
 	calls    *table.Table[CallID]
@@ -167,7 +169,7 @@
 
 	// changedServices lists the services whose searchers or limits changed in this
 	// tick, freedServices those with a searcher whose call ended. settledRequests
-	// lists the requests with a settled part, reviewQueue those with an ended call
+	// lists the requests with a settled part, reviewQueue the waves with an ended call
 	// or held parts.
 	changedServices []table.ID
 	freedServices   []table.ID
@@ -186,7 +188,7 @@
 	w := &World{
 		Host: host, FailureDomain: domain,
 		view: View{HostCount: 1}, shards: map[model.ServiceName]bool{},
-		requests: table.New[Handle](), parts: table.New[partKey](), calls: table.New[CallID](),
+		requests: table.New[Handle](), waves: table.New[Handle](), parts: table.New[partKey](), calls: table.New[CallID](),
 		searchers: table.New[model.SearcherID](), services: table.New[model.ServiceName](), routes: table.New[string](),
 		suspects: table.New[model.Fingerprint](), survivedAt: policy.NewLRU[model.Fingerprint, time.Time](maxSuspects),
 		hedgeTimers: policy.NewTimers[table.ID](), requestTimers: policy.NewTimers[table.ID](), cancelTimers: policy.NewTimers[table.ID](),
@@ -195,6 +197,7 @@
 		guests: table.New[Guest](), guestCalls: table.New[guestKey](), guestResults: map[Guest][]GuestResult{},
 	}
 	w.request = table.NewColumn[request](w.requests)
+	w.wave = table.NewColumn[wave](w.waves)
 	w.part = table.NewColumn[part](w.parts)
 	w.call = table.NewColumn[call](w.calls)
 	w.searcher = table.NewColumn[searcher](w.searchers)
