query: count searchers that crash after their caller has left

Calls of proven requests are cancelled at once, as before.

TestCrashingRequestOfImpatientCallersIsBounded failed before (20 crashes for 2) and passes; TestCallsOfLeavingCallersEnd covers when calls end.

--- a/internal/query/changes.go
+++ b/internal/query/changes.go
@@ -77,6 +77,8 @@
 	// eligibility holds searchers that become eligible again when the timer
 	// fires.
 	eligibility *policy.Timers[table.ID]
+	// abandoned holds abandoned calls.
+	abandoned *policy.Timers[table.ID]
 }
 
 func newTimers() timers {
@@ -84,6 +86,7 @@
 		deadlines: policy.NewTimers[table.ID](), cutoffs: policy.NewTimers[table.ID](),
 		backoffs: policy.NewTimers[table.ID](), hedges: policy.NewTimers[table.ID](),
 		slots: policy.NewTimers[table.ID](), eligibility: policy.NewTimers[table.ID](),
+		abandoned: policy.NewTimers[table.ID](),
 	}
 }
 
@@ -107,10 +110,12 @@
 	w.WakeAt(w.timers.hedges.Next(w.calls.Has))
 	w.WakeAt(w.timers.slots.Next(w.searchers.Has))
 	w.WakeAt(w.timers.eligibility.Next(w.searchers.Has))
+	w.WakeAt(w.timers.abandoned.Next(w.abandoned.Has))
 }
 
-// fireTimers processes the due timers of parts and searchers.
+// fireTimers processes the due timers of parts, searchers and abandoned calls.
 func (w *World) fireTimers() {
+	w.cancelAbandoned()
 	w.forEachDue(w.timers.backoffs, func(id table.ID) {
 		w.part.Set(id, w.part.Get(id).withWaitEpoch(0))
 		w.markChanged(w.part.Get(id).request)
--- a/internal/query/crash_test.go
+++ b/internal/query/crash_test.go
@@ -228,3 +228,52 @@
 	s.step(Arrived{crashingRequest(s, "suspected")})
 	is.Equal(len(s.sent), 4+1)
 }
+
+// Guards against a request that crashes searchers and is never refused, because each of
+// its callers leaves before the searcher crashes: a call that was cancelled at once
+// could not be lost.
+func TestCrashingRequestOfImpatientCallersIsBounded(t *testing.T) {
+	is := is.New(t)
+	cl := newCluster(t, 1, 1, nil)
+	s := cl.hosts[0]
+	is.Equal(s.search("safe").Outcome, model.OutcomeComplete)
+	for i := range 20 {
+		id := model.RequestID(fmt.Sprint("k", i))
+		s.step(Arrived{crashingRequest(s, id)})
+		s.run(time.Millisecond)
+		s.step(RequestCancelled{id})
+		is.Equal(len(s.done[id]), 1) // answered at once, although its call goes on
+		s.run(2 * time.Second)
+	}
+	is.Equal(cl.crashes, quarantineLosses)
+	is.Equal(s.done["k19"][0].Refusal.Reason, model.ReasonQuarantined)
+	is.Equal(s.world.abandoned.Len(), 0)
+}
+
+// Guards against a searcher that works for a caller that has left: the call of a request
+// that no searcher has survived yet goes on for a moment and is then cancelled, others
+// are cancelled at once.
+func TestCallsOfLeavingCallersEnd(t *testing.T) {
+	for _, survived := range []bool{false, true} {
+		t.Run(fmt.Sprint("survived before: ", survived), func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, nil, replyAfter(time.Millisecond))
+			if survived {
+				s.search("first")
+			}
+			s.onCall = func(StartCall) (time.Duration, Event) { return -1, nil }
+			s.sent = nil
+			s.step(Arrived{s.request("leaves")})
+			is.Equal(len(s.sent), 1)
+			left := s.now
+			s.step(RequestCancelled{"leaves"})
+			s.run(time.Second)
+			want := left.Add(abandonedCallTime)
+			if survived {
+				want = left
+			}
+			is.Equal(s.cancelled[s.sent[0].Attempt], want)
+			is.Equal(s.world.abandoned.Len(), 0)
+		})
+	}
+}
--- a/internal/query/expire.go
+++ b/internal/query/expire.go
@@ -34,11 +34,11 @@
 	w.endParts(r, model.MissingDeadline)
 }
 
-// endParts marks every pending part as missing and cancels its calls.
+// endParts marks every pending part as missing and gives up its calls.
 func (w *World) endParts(r request, reason model.MissingReason) {
 	for _, id := range r.parts {
 		if p := w.part.Get(id); p.state == partPending {
-			w.cancelCalls(id)
+			w.abandonCalls(id)
 			w.setPart(id, w.part.Get(id).withMissing(reason))
 		}
 	}
--- a/internal/query/oracle_test.go
+++ b/internal/query/oracle_test.go
@@ -226,8 +226,8 @@
 			f.test.Fatalf("request %s has %d answers", r.query.ID, len(r.answers))
 		}
 	}
-	if w.requests.Len()+w.parts.Len()+w.calls.Len()+len(w.running) > 0 {
-		f.test.Fatalf("rows left: %d requests, %d parts, %d calls", w.requests.Len(), w.parts.Len(), w.calls.Len())
+	if w.requests.Len()+w.parts.Len()+w.calls.Len()+w.abandoned.Len()+len(w.running) > 0 {
+		f.test.Fatalf("rows left: %d requests, %d parts, %d calls, %d abandoned calls", w.requests.Len(), w.parts.Len(), w.calls.Len(), w.abandoned.Len())
 	}
 	if w.searchers.Len() != len(f.searchers) {
 		f.test.Fatalf("%d searcher rows for %d searchers", w.searchers.Len(), len(f.searchers))
--- a/internal/query/receive.go
+++ b/internal/query/receive.go
@@ -1,6 +1,8 @@
 package query
 
 import (
+	"time"
+
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/table"
 	"toucanpulley.example/internal/tick"
@@ -25,6 +27,8 @@
 func (w *World) receiveReply(e Replied) {
 	id, ok := w.findCall(e.Request, e.Attempt)
 	if !ok {
+		echoed := e.Reply.Request == e.Request && e.Reply.Attempt == e.Attempt
+		w.receiveAbandoned(e.Request, e.Attempt, echoed, false)
 		w.Emit(Count{CounterDrop, string(w.dropReason(e))})
 		w.recordDrain(e.Searcher, e.Reply.Draining)
 		return
@@ -88,6 +92,7 @@
 func (w *World) receiveFailure(e CallFailed) {
 	id, ok := w.findCall(e.Request, e.Attempt)
 	if !ok {
+		w.receiveAbandoned(e.Request, e.Attempt, false, e.Failure == model.FailureLost && !e.NotStarted)
 		w.recordDrain(e.Searcher, e.Failure == model.FailureDraining)
 		return
 	}
@@ -124,11 +129,21 @@
 
 // endCall removes a call and frees its slot at the searcher.
 func (w *World) endCall(id table.ID, s searcher) {
+	w.freeSlot(w.call.Get(id).searcher, s)
+	w.removeCall(id)
+}
+
+// freeSlot replaces the component of a searcher after the end of a call.
+func (w *World) freeSlot(row table.ID, s searcher) {
+	w.searcher.Set(row, s.withInFlightDelta(-1))
+	w.changes.searchers = append(w.changes.searchers, row)
+}
+
+// removeCall removes a call from its part and request.
+func (w *World) removeCall(id table.ID) {
 	c := w.call.Get(id)
-	w.searcher.Set(c.searcher, s.withInFlightDelta(-1))
 	w.part.Set(c.part, w.part.Get(c.part).withoutCall(id))
 	w.request.Set(c.request, w.request.Get(c.request).withoutCall())
-	w.changes.searchers = append(w.changes.searchers, c.searcher)
 	w.calls.Remove(id)
 }
 
@@ -213,10 +228,19 @@
 // cancelCalls cancels the live calls of a part.
 func (w *World) cancelCalls(part table.ID) {
 	for _, id := range w.part.Get(part).liveCalls {
-		c := w.call.Get(id)
-		w.Emit(CancelCall{Request: w.requests.Key(c.request), Attempt: w.calls.Key(id)})
-		// The elapsed time is a lower bound of the latency.
-		s := w.searcher.Get(c.searcher)
-		w.endCall(id, s.withLatencyBound(w.Now().Sub(c.sent), w.slowThreshold(s.service), w.Now()))
+		w.cancelCall(id)
 	}
 }
+
+func (w *World) cancelCall(id table.ID) {
+	c := w.call.Get(id)
+	w.Emit(CancelCall{Request: w.requests.Key(c.request), Attempt: w.calls.Key(id)})
+	w.endCall(id, w.searcherAfterCancel(c.searcher, c.sent))
+}
+
+// searcherAfterCancel returns a searcher after a call to it was cancelled. The elapsed
+// time is a lower bound of the latency.
+func (w *World) searcherAfterCancel(row table.ID, sent time.Time) searcher {
+	s := w.searcher.Get(row)
+	return s.withLatencyBound(w.Now().Sub(sent), w.slowThreshold(s.service), w.Now())
+}
--- a/internal/query/start.go
+++ b/internal/query/start.go
@@ -202,10 +202,10 @@
 	})
 }
 
-// dropParts cancels the calls of a request and removes its parts.
+// dropParts gives up the calls of a request and removes its parts.
 func (w *World) dropParts(r request) {
 	for _, id := range r.parts {
-		w.cancelCalls(id)
+		w.abandonCalls(id)
 		w.parts.Remove(id)
 	}
 }
--- a/internal/query/suspects.go
+++ b/internal/query/suspects.go
@@ -61,17 +61,7 @@
 // restriction on its other calls.
 func (w *World) markProven(id table.ID) {
 	r := w.request.Get(id)
-	if proven, _ := w.proven.Get(r.fingerprint); !proven {
-		w.proven.Put(r.fingerprint, true)
-		w.markFingerprintChanged(r.fingerprint)
-	}
-	suspected := w.isSuspect(r.fingerprint)
-	if row, ok := w.suspects.Find(r.fingerprint); ok && w.suspect.Get(row).losses < quarantineLosses {
-		w.suspects.Remove(row)
-	}
-	if suspected && !w.isQuarantined(r.fingerprint) {
-		w.Emit(ReportSurvival{Fingerprint: r.fingerprint})
-	}
+	w.proveFingerprint(r.fingerprint)
 	if r.mode == dispatchUnrestricted && !r.suspect {
 		return
 	}
@@ -85,6 +75,21 @@
 	}
 }
 
+// proveFingerprint records that a searcher survived a fingerprint.
+func (w *World) proveFingerprint(f model.Fingerprint) {
+	if proven, _ := w.proven.Get(f); !proven {
+		w.proven.Put(f, true)
+		w.markFingerprintChanged(f)
+	}
+	suspected := w.isSuspect(f)
+	if row, ok := w.suspects.Find(f); ok && w.suspect.Get(row).losses < quarantineLosses {
+		w.suspects.Remove(row)
+	}
+	if suspected && !w.isQuarantined(f) {
+		w.Emit(ReportSurvival{Fingerprint: f})
+	}
+}
+
 // canSendCall reports whether the dispatch mode of a request allows it another
 // call. Calls of other requests with its fingerprint count too, so that
 // concurrent requests cannot crash more searchers than it takes to quarantine
@@ -93,7 +98,7 @@
 	if r.mode == dispatchUnrestricted {
 		return true
 	}
-	otherCalls := -r.liveCalls
+	otherCalls := w.abandonedCalls(r.fingerprint) - r.liveCalls
 	for _, id := range w.running {
 		if other := w.request.Get(id); other.fingerprint == r.fingerprint {
 			otherCalls += other.liveCalls
@@ -130,21 +135,28 @@
 		w.proven.Put(r.fingerprint, false)
 		return
 	}
-	row, _ := w.suspects.Add(r.fingerprint)
-	known := w.suspect.Get(row).losses
-	s := w.suspect.Get(row).withLoss(w.searchers.Key(c.searcher), w.Now(), w.Now().Add(w.rootSettings.Quarantine))
-	w.suspect.Set(row, s)
-	if s.losses > known {
-		w.Emit(ReportSuspect{Fingerprint: r.fingerprint, Losses: s.losses})
-	}
+	losses := w.countLoss(r.fingerprint, c.searcher)
 	r = r.withSuspect()
-	if s.losses >= quarantineLosses {
-		r = r.withRefusal(newRefusal(model.ReasonQuarantined, "%d searchers were lost to this request", s.losses).
+	if losses >= quarantineLosses {
+		r = r.withRefusal(newRefusal(model.ReasonQuarantined, "%d searchers were lost to this request", losses).
 			WithExecution(model.MayHaveRun))
 	}
 	w.request.Set(c.request, r)
 }
 
+// countLoss counts a searcher that was lost while it ran a fingerprint, and returns the
+// number of losses on this lane.
+func (w *World) countLoss(f model.Fingerprint, searcher table.ID) int {
+	row, _ := w.suspects.Add(f)
+	known := w.suspect.Get(row).losses
+	s := w.suspect.Get(row).withLoss(w.searchers.Key(searcher), w.Now(), w.Now().Add(w.rootSettings.Quarantine))
+	w.suspect.Set(row, s)
+	if s.losses > known {
+		w.Emit(ReportSuspect{Fingerprint: f, Losses: s.losses})
+	}
+	return s.losses
+}
+
 // markFingerprintChanged schedules the running requests with a fingerprint for
 // this tick.
 func (w *World) markFingerprintChanged(fingerprint model.Fingerprint) {
--- a/internal/query/world.go
+++ b/internal/query/world.go
@@ -61,6 +61,9 @@
 	calls *table.Table[model.Attempt]
 	call  *table.Column[call]
 
+	abandoned     *table.Table[model.Attempt]
+	abandonedCall *table.Column[abandonedCall]
+
 	searchers *table.Table[model.SearcherID]
 	searcher  *table.Column[searcher]
 	// waiters holds the parts that wait for a free slot at a searcher.
@@ -98,6 +101,7 @@
 		requests:  table.New[model.RequestID](),
 		parts:     table.New[partKey](),
 		calls:     table.New[model.Attempt](),
+		abandoned: table.New[model.Attempt](),
 		searchers: table.New[model.SearcherID](),
 		services:  table.New[model.ServiceName](),
 		suspects:  table.New[model.Fingerprint](),
@@ -110,6 +114,7 @@
 	w.request = table.NewColumn[request](w.requests)
 	w.part = table.NewColumn[part](w.parts)
 	w.call = table.NewColumn[call](w.calls)
+	w.abandonedCall = table.NewColumn[abandonedCall](w.abandoned)
 	w.searcher = table.NewColumn[searcher](w.searchers)
 	w.waiters = table.NewColumn[*policy.FIFO[table.ID]](w.searchers)
 	w.service = table.NewColumn[service](w.services)
