--- a/internal/query/abandoned.go
+++ b/internal/query/abandoned.go
@@ -39,13 +39,12 @@
 	}
 }
 
-// receiveAbandoned applies the outcome of an abandoned call. It reports whether the
-// attempt is one.
-func (w *World) receiveAbandoned(request model.RequestID, attempt model.Attempt, survived, lost bool) bool {
+// receiveAbandoned applies the outcome of a call if it is an abandoned one.
+func (w *World) receiveAbandoned(request model.RequestID, attempt model.Attempt, survived, lost bool) {
 	id, ok := w.abandoned.Find(attempt)
 	c := w.abandonedCall.Get(id)
 	if !ok || c.request != request {
-		return false
+		return
 	}
 	switch {
 	case survived:
@@ -58,7 +57,6 @@
 		s = s.withFailure()
 	}
 	w.endAbandoned(id, s)
-	return true
 }
 
 // cancelAbandoned cancels the abandoned calls whose time is over.
