conns, dial: bound the memory of all unfinished replies

Reported by operators of similar systems: a searcher that sends bytes without end fills the memory of the host that called it, and the host is killed with the requests of its other callers.

It could happen here. One reply was bounded to 1 MB, but parsed headers take 16 times the memory of their bytes, and nothing bounded the sum over all connections. The machines have 284 MB.

A head is now cut off after 32 KB. Unfinished replies of more than 32 KB share a sixteenth of the memory; beyond it the largest one is cut off, so that faulty searchers cannot crowd out the replies of others. An announced length allocates nothing in advance.

In the product's own engine, the connect client refused a body of more than 8 MB but read on to its end; it is now cut off, and headers are bounded.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -1,9 +1,7 @@
 package conns
 
 import (
-	"bufio"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"time"
@@ -12,38 +10,15 @@
 	"toucanpulley.example/internal/relay"
 )
 
-var (
-	errUnexpectedData = errors.New("unexpected data on an idle connection")
-	errReplyTooLarge  = fmt.Errorf("the searcher sent more than %d bytes for one call", MaxReplyBytes)
-)
-
-// replyLimiter fails once MaxReplyBytes have been read since the last reset.
-type replyLimiter struct {
-	source io.Reader
-	left   int
-}
-
-func (r *replyLimiter) reset() { r.left = MaxReplyBytes }
-
-// Read implements io.Reader.
-func (r *replyLimiter) Read(to []byte) (int, error) {
-	if r.left <= 0 {
-		return 0, errReplyTooLarge
-	}
-	n, err := r.source.Read(to[:min(len(to), r.left)])
-	r.left -= n
-	return n, err
-}
+var errUnexpectedData = errors.New("unexpected data on an idle connection")
 
 // conn is a connection and the goroutine that reads from it. The mutex of the pool
-// guards all fields except socket, limiter and reader.
+// guards all fields except socket and reader.
 type conn struct {
-	pool    *Pool
-	backend *backend
-	socket  net.Conn
-	// limiter is reset after each reply that ended a call.
-	limiter     *replyLimiter
-	reader      *bufio.Reader
+	pool        *Pool
+	backend     *backend
+	socket      net.Conn
+	reader      *ReplyReader
 	call        *activeCall
 	lastUsed    time.Time
 	idleTimeout time.Duration
@@ -65,9 +40,9 @@
 			return
 		}
 		p.OnOpened(searcher.ID)
-		limiter := &replyLimiter{source: socket, left: MaxReplyBytes}
 		c := &conn{
-			pool: p, backend: b, socket: socket, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
+			pool: p, backend: b, socket: socket,
+			reader:      newReplyReader(socket, p.replies, func() { _ = socket.Close() }), // the read reports why
 			idleTimeout: p.IdleTime, lastUsed: time.Now(), counted: true,
 		}
 		if a, ok := p.nextCall(c); ok {
@@ -192,7 +167,9 @@
 
 // readReplies reads replies until the connection is closed.
 func (c *conn) readReplies() {
+	defer c.reader.endCall()
 	for {
+		c.reader.beginReply()
 		_, err := c.reader.Peek(1)
 		a := c.currentCall(err == nil)
 		if err == nil && a == nil {
@@ -200,7 +177,7 @@
 		}
 		if err != nil {
 			failure := model.FailureLost
-			if errors.Is(err, errReplyTooLarge) {
+			if exceedsLimit(err) {
 				failure = model.FailureTruncated
 			}
 			c.closeWithError(a, failure, err)
@@ -217,7 +194,7 @@
 		if result.RequestID != "" && result.RequestID != a.start.Request && result.Reusable {
 			continue // late reply to an earlier request; the reply to this call follows
 		}
-		c.limiter.reset()
+		c.reader.endCall()
 		if !c.deliver(a, result) {
 			return
 		}
@@ -248,7 +225,7 @@
 	if result.IdleTimeout > 0 {
 		c.idleTimeout = max(result.IdleTimeout-idleMargin, 0)
 	}
-	if mismatched || !result.Reusable || c.reader.Buffered() > 0 {
+	if mismatched || !result.Reusable || c.reader.Buffered() > 0 || c.reader.cutOff() {
 		c.close()
 	}
 	p.mu.Unlock()
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -5,7 +5,8 @@
 //
 // A Codec encodes calls and decodes replies. A reply is accepted only if it has the
 // request id of the call. Late replies to earlier requests are
-// skipped, and data received on an idle connection closes it.
+// skipped, and data received on an idle connection closes it. Replies are bounded in
+// size, each and all together.
 //
 // # Usage
 //
@@ -17,7 +18,6 @@
 package conns
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -60,13 +60,6 @@
 	// inlineWriteBytes is the largest message that Start writes itself. It fits into
 	// the send buffer of an idle connection, so the write cannot block.
 	inlineWriteBytes = 8 << 10
-	// MaxReplyBytes bounds the bytes that are read for one call: head and body of the
-	// reply, and interim and late replies before it. A host has some hundred connections
-	// and less than 300 MB, and a faulty searcher may send without end.
-	MaxReplyBytes = 1 << 20
-	// readBufferBytes is the size of a connection's read buffer; most replies are
-	// smaller.
-	readBufferBytes = 2 << 10
 )
 
 // Dial opens a TCP connection that detects an unresponsive peer.
@@ -129,9 +122,9 @@
 type Codec struct {
 	// Append appends the encoded call to a buffer.
 	Append func(to []byte, c relay.StartCall) []byte
-	// Read reads one reply to a call. It returns an error if the reply is incomplete
-	// or malformed.
-	Read func(r *bufio.Reader, c relay.StartCall) (ReadResult, error)
+	// Read reads one reply to a call, and calls EndHead before it reads a body. It
+	// returns an error if the reply is incomplete or malformed.
+	Read func(r *ReplyReader, c relay.StartCall) (ReadResult, error)
 	// Marshal and Unmarshal encode the message of a call for another host, which sends
 	// the call.
 	Marshal   func(message any) []byte
@@ -151,11 +144,16 @@
 	// ConnectTimeout defaults to DefaultConnectTimeout, IdleTime to DefaultIdleTime.
 	ConnectTimeout time.Duration
 	IdleTime       time.Duration
+	// ReplyMemory bounds the bytes of unfinished replies over all connections, apart
+	// from small ones; it defaults to DefaultReplyMemory. The largest replies are cut
+	// off beyond it.
+	ReplyMemory int
 
-	codec  Codec
-	ctx    context.Context
-	cancel context.CancelFunc
-	tasks  sync.WaitGroup
+	replies *replyMemory
+	codec   Codec
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
 
 	mu       sync.Mutex
 	backends map[model.SearcherID]*backend
@@ -167,8 +165,9 @@
 func NewPool(codec Codec) *Pool {
 	p := &Pool{
 		OnResult: func(relay.Event) {}, OnOpened: func(model.SearcherID) {}, OnUnsent: func(relay.StartCall) {},
-		ConnectTimeout: DefaultConnectTimeout, IdleTime: DefaultIdleTime,
-		codec: codec, backends: map[model.SearcherID]*backend{}, active: map[relay.CallID]*activeCall{},
+		ConnectTimeout: DefaultConnectTimeout, IdleTime: DefaultIdleTime, ReplyMemory: DefaultReplyMemory,
+		replies: newReplyMemory(DefaultReplyMemory),
+		codec:   codec, backends: map[model.SearcherID]*backend{}, active: map[relay.CallID]*activeCall{},
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
@@ -201,6 +200,7 @@
 func (p *Pool) SetPlan(plan relay.ConnectionPlan) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.replies.setLimit(p.ReplyMemory)
 	for id, limits := range plan.Searchers {
 		b, ok := p.backends[id]
 		if ok && b.limits.Searcher.Address != limits.Searcher.Address {
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -19,7 +19,7 @@
 func testCodec() Codec {
 	return Codec{
 		Append: func(to []byte, c relay.StartCall) []byte { return append(to, string(c.Request)+"\n"...) },
-		Read: func(r *bufio.Reader, _ relay.StartCall) (ReadResult, error) {
+		Read: func(r *ReplyReader, _ relay.StartCall) (ReadResult, error) {
 			line, err := r.ReadString('\n')
 			if err != nil {
 				return ReadResult{}, err
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -50,6 +50,8 @@
 	IsSeed bool
 	// RetryBudget limits the retries of this deployment.
 	RetryBudget relay.RetryBudget
+	// ReplyMemory bounds the bytes of unfinished replies of searchers.
+	ReplyMemory int
 	Source      Source
 	Codec       conns.Codec
 	Log         hclog.Logger
@@ -71,7 +73,7 @@
 // NewRelay returns a daemon for a host.
 func NewRelay(self model.Host) *Relay {
 	r := &Relay{
-		Self: self, Log: hclog.NewNullLogger(), Meter: meter.New(), started: make(chan struct{}),
+		Self: self, ReplyMemory: conns.DefaultReplyMemory, Log: hclog.NewNullLogger(), Meter: meter.New(), started: make(chan struct{}),
 		statusQuery: newStatusQuery[ctrl.Status]("read control status"),
 	}
 	r.view.Store(&relay.View{HostCount: 1})
@@ -107,6 +109,7 @@
 
 func (r *Relay) build() {
 	r.pool = conns.NewPool(r.Codec)
+	r.pool.ReplyMemory = r.ReplyMemory
 	r.pool.OnOpened = func(model.SearcherID) { r.Meter.Count("connection", "opened") }
 	r.pool.OnUnsent = func(c relay.StartCall) {
 		r.Meter.Count("call", "unsent")
--- a/internal/dial/pool.go
+++ b/internal/dial/pool.go
@@ -43,6 +43,9 @@
 	defaultConnections = 2
 	// maxReplyBytes is the maximum size of a reply of a searcher.
 	maxReplyBytes = 8 << 20
+	// maxHeaderBytes is the maximum size of the headers of a reply. Parsed headers take
+	// up to 16 times the memory of their bytes.
+	maxHeaderBytes = 32 << 10
 )
 
 // Pool makes calls to searchers over reused connections. Its exported fields must
@@ -160,7 +163,8 @@
 		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
 		// An HTTP/2 connection multiplexes calls, so that one usually suffices;
 		// maxConns is an upper limit.
-		MaxConnsPerHost: maxConns,
+		MaxConnsPerHost:        maxConns,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -178,7 +182,7 @@
 	}
 	return &searcherClient{
 		address: s.Address, maxConnections: maxConns, grant: grant, transport: transport,
-		client: search.NewSearcherServiceClient(&http.Client{Transport: transport}, scheme+string(s.Address), options...),
+		client: search.NewSearcherServiceClient(&http.Client{Transport: bodyLimiter{transport}}, scheme+string(s.Address), options...),
 	}
 }
 
