relay: do not send a request whose caller has left in the same tick

Searchers got requests of callers that had left, and worked on them until the deadline, if the arrival and the departure were handled in one tick, as after a pause of the process.

Cause: cancelDisconnected runs before admitRequests, found no request and forgot the departure. It now keeps departures without a request for admitRequests, which refuses the request as not run.

Found by reading the order of the systems.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -20,6 +20,10 @@
 // admitRequests is the system that starts or refuses new requests.
 func (w *World) admitRequests() {
 	tick.Each(w.Inbox(), func(e Arrived) {
+		if w.disconnected[e.Request.Handle] {
+			w.refuseRequest(e.Request, model.NewRefusal(model.ReasonCallerCancelled, "the caller went away before the request was handled"), 0)
+			return
+		}
 		route, refusal, ok := w.resolveRoute(e.Request)
 		if !ok {
 			w.refuseRequest(e.Request, refusal, w.refusalRetryAfter(e.Request, refusal))
--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -168,6 +168,27 @@
 	is.Equal(l.calls.Len(), 0)
 }
 
+// TestRequestOfAGoneCallerIsNotSent guards against a request that is sent to searchers
+// although its caller has left, because both events wait for the same tick of a process
+// that was paused or is busy. Nothing would cancel its calls before the deadline.
+func TestRequestOfAGoneCallerIsNotSent(t *testing.T) {
+	for _, path := range []string{"/all/q", "/one/q"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			l := newLane(3, nil)
+			gone := Request{Handle: 1, ID: "gone", Host: "h", Path: path, Arrived: l.now}
+			waits := Request{Handle: 2, ID: "waits", Host: "h", Path: "/one/q", Arrived: l.now}
+			l.tick(Arrived{Request: gone}, Arrived{Request: waits}, CallerDisconnected{Handle: gone.Handle})
+			is.Equal(len(l.sent), 1)
+			is.Equal(l.sent[0].Request, waits.ID)
+			is.Equal(l.answers[gone.Handle].Refusal.Reason, model.ReasonCallerCancelled)
+			is.Equal(l.answers[gone.Handle].Refusal.Execution, model.NotRun)
+			l.tick(CallerDisconnected{Handle: waits.Handle})
+			is.Equal(l.Running(), 0)
+		})
+	}
+}
+
 // TestLeavingSearcherGetsNoCalls guards against calls to searchers that are
 // draining, or whose address was taken over.
 func TestLeavingSearcherGetsNoCalls(t *testing.T) {
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -187,11 +187,14 @@
 }
 
 // cancelDisconnected is the system that ends the requests of callers that
-// disconnected.
+// disconnected. Those that arrive in the same tick, as after a pause of the process, are
+// left to admitRequests.
 func (w *World) cancelDisconnected() {
+	clear(w.disconnected)
 	tick.Each(w.Inbox(), func(e CallerDisconnected) {
 		id, ok := w.requests.Find(e.Handle)
 		if !ok {
+			w.disconnected[e.Handle] = true
 			return
 		}
 		r := w.request.Get(id)
--- a/internal/relay/world.go
+++ b/internal/relay/world.go
@@ -124,6 +124,9 @@
 	restrictedUntil time.Time
 	// answerBy is the time by which a stopping host answers all requests; zero before.
 	answerBy time.Time
+	// disconnected holds the callers that disconnected in this tick without a request in
+	// the table.
+	disconnected map[Handle]bool
 	// slackGranted is set once the retry slack has been granted.
 	slackGranted bool
 
@@ -187,7 +190,7 @@
 func NewWorld(host model.HostID, domain model.FailureDomain) *World {
 	w := &World{
 		Host: host, FailureDomain: domain,
-		view: View{HostCount: 1}, shards: map[model.ServiceName]bool{},
+		view: View{HostCount: 1}, shards: map[model.ServiceName]bool{}, disconnected: map[Handle]bool{},
 		requests: table.New[Handle](), waves: table.New[Handle](), parts: table.New[partKey](), calls: table.New[CallID](),
 		searchers: table.New[model.SearcherID](), services: table.New[model.ServiceName](), routes: table.New[string](),
 		suspects: table.New[model.Fingerprint](), survivedAt: policy.NewLRU[model.Fingerprint, time.Time](maxSuspects),
