conns: never wait for a searcher on the goroutine of a lane

Cause: the reply freed the connection while its request was still being written. The next call on it was written by the lane itself, which waited for the write lock of the socket. An idle connection with full buffers had the same effect.

The lane now writes only what the socket takes without waiting, and a goroutine the rest.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
+	"syscall"
 	"time"
 
 	"toucanpulley.example/internal/model"
@@ -13,11 +15,12 @@
 var errUnexpectedData = errors.New("unexpected data on an idle connection")
 
 // conn is a connection and the goroutine that reads from it. The mutex of the pool
-// guards all fields except socket and reader.
+// guards all fields except socket, raw and reader.
 type conn struct {
 	pool        *Pool
 	backend     *backend
 	socket      net.Conn
+	raw         syscall.RawConn
 	reader      *ReplyReader
 	call        *activeCall
 	lastUsed    time.Time
@@ -27,6 +30,8 @@
 	// reply has been read from it.
 	counted     bool
 	carriedCall bool
+	// writing is set from the start of a call until its request has been written.
+	writing bool
 }
 
 // open starts to open a connection. The caller must hold p.mu.
@@ -41,7 +46,7 @@
 		}
 		p.OnOpened(searcher.ID)
 		c := &conn{
-			pool: p, backend: b, socket: socket,
+			pool: p, backend: b, socket: socket, raw: rawConn(socket),
 			reader:      newReplyReader(socket, p.replies, func() { _ = socket.Close() }), // the read reports why
 			idleTimeout: p.IdleTime, lastUsed: time.Now(), counted: true,
 		}
@@ -116,12 +121,8 @@
 // p.mu.
 func (p *Pool) removeConn(c *conn) {
 	b := c.backend
-	for i, o := range b.idle {
-		if o == c {
-			b.idle = append(b.idle[:i], b.idle[i+1:]...)
-			break
-		}
-	}
+	isClosed := func(o *conn) bool { return o == c }
+	b.idle, b.lingering = slices.DeleteFunc(b.idle, isClosed), slices.DeleteFunc(b.lingering, isClosed)
 	if c.counted {
 		c.counted = false
 		b.open--
@@ -139,32 +140,6 @@
 	_ = c.socket.Close() // the result of the call reports what was lost
 }
 
-// write sends a call. A large message is written in a separate goroutine.
-func (c *conn) write(a *activeCall) {
-	message := c.pool.codec.Append(nil, a.start)
-	if len(message) > inlineWriteBytes {
-		c.pool.tasks.Go(func() { c.writeMessage(a, message) })
-		return
-	}
-	c.writeMessage(a, message)
-}
-
-func (c *conn) writeMessage(a *activeCall, message []byte) {
-	n, err := c.socket.Write(message)
-	if err == nil {
-		return
-	}
-	failure, notRun := model.FailureLost, false
-	if n == 0 {
-		failure, notRun = model.FailureUnsent, true
-	}
-	c.pool.mu.Lock()
-	c.close()
-	c.pool.mu.Unlock()
-	// The caller may be the goroutine that receives results, so OnResult could block.
-	c.pool.tasks.Go(func() { c.pool.fail(a, failure, notRun, err) })
-}
-
 // readReplies reads replies until the connection is closed.
 func (c *conn) readReplies() {
 	defer c.reader.endCall()
@@ -212,8 +187,10 @@
 	return c.call
 }
 
-// deliver reports a reply and frees the connection for the next call. It returns
-// false if the connection was closed.
+// deliver reports a reply and frees the connection for the next call, unless its
+// request is still being written: the rest of it must come before the next one. If other
+// calls wait for a connection, it is closed instead. It
+// returns false if the connection was closed.
 func (c *conn) deliver(a *activeCall, result ReadResult) bool {
 	p := c.pool
 	// A reply without an id may be a second copy of the reply to an earlier call.
@@ -225,7 +202,12 @@
 	if result.IdleTimeout > 0 {
 		c.idleTimeout = max(result.IdleTimeout-idleMargin, 0)
 	}
-	if mismatched || !result.Reusable || c.reader.Buffered() > 0 || c.reader.cutOff() {
+	unusable := mismatched || !result.Reusable || c.reader.Buffered() > 0 || c.reader.cutOff()
+	lingers := c.writing && !unusable && len(c.backend.waiting) == 0
+	switch {
+	case lingers:
+		c.linger()
+	case unusable || c.writing:
 		c.close()
 	}
 	p.mu.Unlock()
@@ -234,7 +216,13 @@
 	} else if live {
 		p.OnResult(relay.Replied{Call: a.start.Call, Reply: result.Reply})
 	}
-	next, ok := p.nextCall(c)
+	return lingers || c.free()
+}
+
+// free makes the connection available for the next call. It returns false if the
+// connection was closed.
+func (c *conn) free() bool {
+	next, ok := c.pool.nextCall(c)
 	if ok && next != nil {
 		c.write(next)
 	}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -57,9 +57,6 @@
 	keepAliveIdle     = 1500 * time.Millisecond
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
-	// inlineWriteBytes is the largest message that Start writes itself. It fits into
-	// the send buffer of an idle connection, so the write cannot block.
-	inlineWriteBytes = 8 << 10
 )
 
 // Dial opens a TCP connection that detects an unresponsive peer.
@@ -186,9 +183,12 @@
 	// inUse is false once the searcher is no longer in the plan.
 	inUse bool
 	// open counts the connections, including those being opened.
-	open    int
-	idle    []*conn
-	waiting []*activeCall
+	open int
+	idle []*conn
+	// lingering holds the connections that have their reply and still write their
+	// request, longest first.
+	lingering []*conn
+	waiting   []*activeCall
 	// reopening is set while a timer to reopen connections is pending. unusedConns
 	// counts the consecutive connections that closed before they carried a call.
 	reopening   bool
@@ -282,6 +282,9 @@
 		return
 	}
 	b.waiting = append(b.waiting, a)
+	if b.open >= b.limits.MaxOpen {
+		b.closeLingering()
+	}
 	if b.open < b.limits.MaxOpen || b.open == 0 {
 		p.open(b)
 	}
@@ -366,7 +369,7 @@
 
 // assign links a call with the connection that carries it.
 func (p *Pool) assign(a *activeCall, c *conn) {
-	a.conn, c.call = c, a
+	a.conn, c.call, c.writing = c, a, true
 }
 
 // removeWaiting removes a call that waits for a connection.
