--- a/internal/feed/world.go
+++ b/internal/feed/world.go
@@ -245,7 +245,7 @@
 	for id := range w.topics.All() {
 		name, t := w.topics.Key(id), w.topic.Get(id)
 		switch {
-		case t.inFlight || !w.shouldCall(name, t):
+		case t.inFlight || !w.shouldCall(name):
 		case w.Now().Before(t.nextCallAt):
 			w.WakeAt(t.nextCallAt)
 		case !t.known || name == Hosts:
@@ -262,7 +262,7 @@
 
 // shouldCall reports whether to call the store for a topic. If peers watch the
 // store, this host calls it only when its data is older than maxFollowerAge.
-func (w *World) shouldCall(name Topic, t topic) bool {
+func (w *World) shouldCall(name Topic) bool {
 	due := w.StartTime().Add(initialReadDelay)
 	switch {
 	case name == Hosts && w.role.Joined:
