relay: apply no reply to a later start of its searcher

Cause: what a reply or a loss says was applied to the row of the searcher's id, whatever its start.

Rows count the starts that the host has seen, calls hold the one to which they were sent, and the outcome of a call to a former start says nothing of the searcher. The same holds for pauses, limits, leaving, shed calls, losses and latencies.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -164,6 +164,7 @@
 	w.wave.Set(r.wave, w.wave.Get(r.wave).withCall())
 	s := w.searcher.Get(to).withCall(w.Now())
 	w.searcher.Set(to, s)
+	c.start = s.start
 	if r.route.Idempotent && !hedge {
 		w.hedgeTimers.Add(w.Now().Add(w.hedgeDelay(r)), row)
 	}
--- a/internal/relay/guest.go
+++ b/internal/relay/guest.go
@@ -206,7 +206,7 @@
 	id, _ := w.calls.Add(w.lastCall)
 	w.guestCall.Set(row, guestCall{id, e.TopK})
 	w.call.Set(id, call{
-		searcher: to, stats: w.routeStatsRow(model.Route{Name: guestRoute}), request: e.Request, sent: w.Now(), guest: row,
+		searcher: to, stats: w.routeStatsRow(model.Route{Name: guestRoute}), request: e.Request, sent: w.Now(), guest: row, start: s.start,
 	})
 	w.cancelTimers.Add(w.Now().Add(e.Timeout), id)
 	w.Emit(Count{"call", "guest"})
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -28,7 +28,11 @@
 	}
 	c := w.call.Get(id)
 	r := e.Reply
-	w.applyRestrictions(c, r)
+	if w.toCurrentStart(c) {
+		w.applyRestrictions(c, r)
+	} else {
+		w.Emit(Count{"searcher", "formerStart"})
+	}
 	w.finishGuest(c, GuestResult{Reply: r})
 	switch {
 	case r.NotRun || r.Misdirected:
@@ -40,6 +44,9 @@
 	}
 }
 
+// toCurrentStart reports whether a call was sent to the current start of its searcher.
+func (w *World) toCurrentStart(c call) bool { return w.searcher.Get(c.searcher).start == c.start }
+
 // completeCall applies a successful reply to the part of its call.
 func (w *World) completeCall(id table.ID, c call, r Reply) {
 	took := w.Now().Sub(c.sent)
@@ -60,17 +67,21 @@
 }
 
 // handleNotRun handles a reply that reports that the request did not run. A
-// misdirected call also takes the searcher out of use.
+// misdirected call also takes the searcher out of use, unless it has started anew since.
 func (w *World) handleNotRun(id table.ID, c call, r Reply) {
 	reason := model.RetryShed
-	s := w.searcher.Get(c.searcher)
 	if r.Misdirected {
 		reason = model.RetryDraining
+	}
+	s := w.searcher.Get(c.searcher)
+	switch {
+	case !w.toCurrentStart(c):
+	case r.Misdirected:
 		w.log("searcher address taken over", "searcher", w.searchers.Key(c.searcher),
 			"address", s.registration.Searcher.Address, "request", c.request)
 		w.searcher.Set(c.searcher, s.withDraining())
 		w.changedServices = append(w.changedServices, s.service)
-	} else {
+	default:
 		w.searcher.Set(c.searcher, s.withShed())
 	}
 	w.endCall(id, c, w.Now().Sub(c.sent), callDropped)
@@ -100,7 +111,9 @@
 	c := w.call.Get(id)
 	w.finishGuest(c, GuestResult{Failed: true, Failure: e.Failure, NotRun: e.NotRun, Cause: e.Cause})
 	if e.Failure != model.FailureCancelled && e.Failure != model.FailureDelegate {
-		w.searcher.Set(c.searcher, w.searcher.Get(c.searcher).withLoss(w.Now()))
+		if w.toCurrentStart(c) {
+			w.searcher.Set(c.searcher, w.searcher.Get(c.searcher).withLoss(w.Now()))
+		}
 		w.log("call failed", "request", c.request, "searcher", w.searchers.Key(c.searcher), "failure", e.Failure.String(),
 			"notRun", e.NotRun, "elapsedMs", milliseconds(w.Now().Sub(c.sent)), "cause", e.Cause,
 			"delegate", w.delegateHosts.Key(c.delegate))
@@ -126,7 +139,11 @@
 	if failed {
 		ratio = max(ratio, s.currentLatencyRatio(w.Now())) // a failure must not improve the latency estimate
 	}
-	s = s.withoutCall(w.Now(), !failed).withSample(ratio, failed, w.Now())
+	if w.toCurrentStart(c) {
+		s = s.withoutCall(w.Now(), !failed).withSample(ratio, failed, w.Now())
+	} else {
+		s = s.withoutFormerCall()
+	}
 	w.searcher.Set(c.searcher, s)
 	w.freedServices = append(w.freedServices, s.service)
 	w.calls.Remove(id)
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -194,6 +194,8 @@
 	request  model.RequestID
 	sent     time.Time
 	hedge    bool
+	// start is the start of the searcher to which the call was sent.
+	start int
 	// delegate is the host that sends the call for this one, and guest the delegated
 	// call that this host sends for another one; at most one is set.
 	delegate table.ID
--- a/internal/relay/searcher.go
+++ b/internal/relay/searcher.go
@@ -12,7 +12,10 @@
 // searcher is the component of a searcher as observed by this host.
 type searcher struct {
 	registration model.Registration
-	service      table.ID
+	// start counts the starts of the searcher that this host has seen. What a call to an
+	// earlier start shows says nothing about the current one.
+	start   int
+	service table.ID
 	// local is set if the searcher is in this host's failure domain.
 	local bool
 	// connections limits the connections of this host to the searcher.
@@ -93,6 +96,12 @@
 	return s
 }
 
+// withoutFormerCall returns the searcher after the end of a call to an earlier start.
+func (s searcher) withoutFormerCall() searcher {
+	s.inFlight--
+	return s
+}
+
 func (s searcher) withoutCall(now time.Time, answered bool) searcher {
 	s.inFlight--
 	if answered {
@@ -177,7 +186,9 @@
 // statistics are reset if the registration belongs to another start.
 func (s searcher) withRegistration(r model.Registration, local bool, now time.Time) searcher {
 	if !s.registration.SameStart(r) {
-		s = searcher{service: s.service, inFlight: s.inFlight, latencyRatio: 1, sampledAt: now, warmUntil: now.Add(r.WarmUp)}
+		s = searcher{
+			service: s.service, start: s.start + 1, inFlight: s.inFlight, latencyRatio: 1, sampledAt: now, warmUntil: now.Add(r.WarmUp),
+		}
 	}
 	s.registration, s.local, s.draining = r, local, r.Searcher.Leaving || s.saidLeaving
 	return s
