relay: take no delegated reply for one of a start that is just known

Its log has the cause: the list with the new start came at .434, and at .459 a call that was delegated to a host without that list ended with 421, because it was sent to the former address.

The result of a delegated call now says nothing of a searcher's start that this host has known for less than 5 s, within which all hosts learn it.

--- a/internal/ctrl/delegate_test.go
+++ b/internal/ctrl/delegate_test.go
@@ -143,3 +143,40 @@
 		})
 	}
 }
+
+// Guards against a host that takes new starts of searchers out of use for good, because
+// a host to which it delegates calls does not know them yet, sends the calls to the
+// former addresses and returns that other searchers have these.
+func TestDelegateWithFormerAddresses(t *testing.T) {
+	is := is.New(t)
+	f := newDelegatingFleet()
+	const newAddress = "new"
+	f.outcome = func(c relay.StartCall) relay.Event {
+		if c.Searcher.Address != newAddress {
+			return relay.Replied{Call: c.Call, Reply: relay.Reply{Status: 421, Misdirected: true}}
+		}
+		return relay.Replied{Call: c.Call, Reply: relay.Reply{Status: 200, Signature: string(c.Searcher.ID)}}
+	}
+	var restarted model.Fleet
+	for _, r := range f.registrations {
+		r.StartMillis, r.Searcher.Address = 2, newAddress
+		restarted.Registrations = append(restarted.Registrations, r)
+	}
+	learn := func(h *relayHost) { h.tickLane(relay.ViewChanged{View: h.view.WithFleet(restarted)}) }
+	asks := f.hosts[len(f.hosts)-1]
+	learn(asks)
+	for i := range 5 {
+		asks.submitAs(model.RequestID(fmt.Sprint("early-", i)), model.Fingerprint(100+i))
+		f.run(50 * time.Millisecond)
+	}
+	is.Equal(asks.answered, 0) // the others reach no searcher yet
+	for _, h := range f.hosts[:len(f.hosts)-1] {
+		learn(h)
+	}
+	f.run(100 * time.Millisecond)
+	for i := range 10 {
+		asks.submitAs(model.RequestID(fmt.Sprint("late-", i)), model.Fingerprint(200+i))
+		f.run(50 * time.Millisecond)
+	}
+	is.Equal(asks.answered, 10)
+}
--- a/internal/ctrl/relayfleet_test.go
+++ b/internal/ctrl/relayfleet_test.go
@@ -78,7 +78,8 @@
 	answered    int
 	// ended counts the answers, refusals included.
 	ended int
-	// known is the number of hosts in the last view.
+	// view is the last view of the control world, known the number of hosts in it.
+	view  relay.View
 	known int
 	// incarnation identifies the process to the hosts that it delegates calls to.
 	incarnation uint64
@@ -188,7 +189,7 @@
 	for _, c := range h.control.Tick(f.now, events) {
 		switch c := c.(type) {
 		case ctrl.PublishRelay:
-			h.known = len(c.View.KnownHosts)
+			h.view, h.known = c.View, len(c.View.KnownHosts)
 			h.tickLane(relay.ViewChanged{View: c.View})
 		case ctrl.PushTo:
 			h.sendTo(c.Peer.ID, func(to *relayHost) { to.tick(ctrl.Pushed{Gossip: c.Gossip}) })
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -17,6 +17,9 @@
 	// delegateAvoidMax. Each attempt costs retry budget.
 	delegateAvoidTime = 2 * time.Second
 	delegateAvoidMax  = 30 * time.Second
+	// delegateViewLag is how much later than this host another one may learn of a
+	// searcher's start; changes are in force everywhere within it.
+	delegateViewLag = 5 * time.Second
 )
 
 // DelegateCalls asks another host to send calls of one request to searchers in its
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -44,8 +44,12 @@
 	}
 }
 
-// toCurrentStart reports whether a call was sent to the current start of its searcher.
-func (w *World) toCurrentStart(c call) bool { return w.searcher.Get(c.searcher).start == c.start }
+// toCurrentStart reports whether a call was surely sent to the current start of its
+// searcher. The host to which it was delegated may not have known that start yet.
+func (w *World) toCurrentStart(c call) bool {
+	s := w.searcher.Get(c.searcher)
+	return s.start == c.start && (c.delegate == 0 || !c.sent.Before(s.startSeenAt.Add(delegateViewLag)))
+}
 
 // completeCall applies a successful reply to the part of its call.
 func (w *World) completeCall(id table.ID, c call, r Reply) {
--- a/internal/relay/searcher.go
+++ b/internal/relay/searcher.go
@@ -13,9 +13,11 @@
 type searcher struct {
 	registration model.Registration
 	// start counts the starts of the searcher that this host has seen. What a call to an
-	// earlier start shows says nothing about the current one.
-	start   int
-	service table.ID
+	// earlier start shows says nothing about the current one. startSeenAt is when this
+	// host learned of it.
+	start       int
+	startSeenAt time.Time
+	service     table.ID
 	// local is set if the searcher is in this host's failure domain.
 	local bool
 	// connections limits the connections of this host to the searcher.
@@ -187,7 +189,7 @@
 func (s searcher) withRegistration(r model.Registration, local bool, now time.Time) searcher {
 	if !s.registration.SameStart(r) {
 		s = searcher{
-			service: s.service, start: s.start + 1, inFlight: s.inFlight, latencyRatio: 1, sampledAt: now, warmUntil: now.Add(r.WarmUp),
+			service: s.service, start: s.start + 1, startSeenAt: now, inFlight: s.inFlight, latencyRatio: 1, sampledAt: now, warmUntil: now.Add(r.WarmUp),
 		}
 	}
 	s.registration, s.local, s.draining = r, local, r.Searcher.Leaving || s.saidLeaving
