--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -187,10 +187,9 @@
 	return c.call
 }
 
-// deliver reports a reply and frees the connection for the next call, unless its
-// request is still being written: the rest of it must come before the next one. If other
-// calls wait for a connection, it is closed instead. It
-// returns false if the connection was closed.
+// deliver reports a reply and frees the connection for the next call. If its request is
+// still being written, the connection lingers until the write ends, or is closed if
+// other calls wait for one. It returns false if the connection was closed.
 func (c *conn) deliver(a *activeCall, result ReadResult) bool {
 	p := c.pool
 	// A reply without an id may be a second copy of the reply to an earlier call.
