devel: end the start of a site with the error of a host that failed

The start waited on for a host that had ended. It now returns that host's error, as of a port that was taken between the search for a free one and its use.

--- a/internal/devel/replace.go
+++ b/internal/devel/replace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 
@@ -42,6 +43,9 @@
 		err := d.Run(ctx)
 		if err != nil {
 			s.Log.Error("entry host failed", "host", id, "error", err)
+			if !d.View().Draining {
+				s.hostFailed(fault.Wrap(err, "run entry host", string(id)))
+			}
 		}
 		result <- err
 	})
@@ -52,6 +56,13 @@
 	return nil
 }
 
+// hostFailed records the error of a host, for awaitReady.
+func (s *Site) hostFailed(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failure = errors.Join(s.failure, err)
+}
+
 // updateHosts applies a change to the platform's host list.
 func (s *Site) updateHosts(change func([]store.HostEntry) []store.HostEntry) {
 	s.mu.Lock()
--- a/internal/devel/site.go
+++ b/internal/devel/site.go
@@ -108,9 +108,11 @@
 	addresses []string
 	// results holds the channel on which the result of each daemon's Run is sent.
 	results map[*daemon.Daemon]chan error
+	// failure joins the errors of hosts that have failed without being drained.
+	failure error
 	// replacements counts the calls of ReplaceOldestHost.
 	replacements int
-	// mu guards hosts, daemons, addresses and results.
+	// mu guards hosts, daemons, addresses, results and failure.
 	mu     sync.Mutex
 	hosts  []store.HostEntry
 	server *http.Server
@@ -306,20 +308,29 @@
 	return model.Address(listener.Addr().String()), nil
 }
 
-// awaitReady waits until ready returns true, or fails after readyTimeout.
+// awaitReady waits until ready returns true. It fails after readyTimeout, or once a host
+// has failed, as when its port was taken between the search for a free one and its use.
 func (s *Site) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	ticker := time.NewTicker(readyPollInterval)
 	defer ticker.Stop()
-	for !s.ready() {
+	for {
+		s.mu.Lock()
+		failure := s.failure
+		s.mu.Unlock()
+		if failure != nil {
+			return failure
+		}
+		if s.ready() {
+			return nil
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return fault.New("wait for entry hosts", "", "not ready in time")
 		}
 	}
-	return nil
 }
 
 // ready reports whether every entry host is ready, has the indexes and addresses
