--- a/internal/conns/write_test.go
+++ b/internal/conns/write_test.go
@@ -206,17 +206,26 @@
 	close(u.readOn)
 }
 
-// Guards against a connection that stays occupied for good because its searcher has
-// answered and never reads the rest of the request.
-func TestUnreadRequestEnds(t *testing.T) {
-	is := is.New(t)
+// startUnreadCall returns a pool with one connection, whose first call was answered and
+// not read.
+func startUnreadCall(t *testing.T) (*unreadServer, *Pool, chan relay.Event) {
+	t.Helper()
 	u := newUnreadServer(t)
 	p, events := newTestPool(t, u.searcher, 0, 1)
 	p.codec = paddedCodec(16 << 20)
 	startCall(p, 1)
 	u.replies <- "r1 early\n"
-	_, ok := next(t, events).(relay.Replied)
-	is.True(ok)
+	if _, ok := next(t, events).(relay.Replied); !ok {
+		t.Fatal("the first call was not answered")
+	}
+	return u, p, events
+}
+
+// Guards against a connection that stays occupied for good because its searcher has
+// answered and never reads the rest of the request.
+func TestUnreadRequestEnds(t *testing.T) {
+	is := is.New(t)
+	u, p, events := startUnreadCall(t)
 	waitUntil(t, func() bool { return p.Open("s-1") == 0 })
 	startCall(p, 2)
 	r, ok := next(t, events).(relay.Replied)
@@ -230,13 +239,7 @@
 // answered and does not read the rest of the request.
 func TestLingeringConnectionMakesRoom(t *testing.T) {
 	is := is.New(t)
-	u := newUnreadServer(t)
-	p, events := newTestPool(t, u.searcher, 0, 1)
-	p.codec = paddedCodec(16 << 20)
-	startCall(p, 1)
-	u.replies <- "r1 early\n"
-	_, ok := next(t, events).(relay.Replied)
-	is.True(ok)
+	u, p, events := startUnreadCall(t)
 	start := time.Now()
 	startCall(p, 2)
 	is.Equal(p.Open("s-1"), 1) // a new connection, in place of the lingering one
