review: impatient callers spend the retries of a request that crashes searchers

Cause: an attempt whose caller has left counts for one wave, however many searchers it crashed; the test at the end of the first quarantine is one retry too many.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -42,6 +43,7 @@
 	"poison-dark":       poisonDark,
 	"poison-shared":     poisonShared,
 	"poison-apart":      poisonApart,
+	"poison-impatient":  poisonImpatient,
 }
 
 func main() {
@@ -61,7 +63,7 @@
 	defer rec.close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case %s, disruption: %v", name, trouble)
-	s := &site{program: program, rec: rec, store: newStore(), ordinaryPath: "/pull/file", ordinaryInterval: 100 * time.Millisecond}
+	s := &site{program: program, rec: rec, store: newStore(), ordinaryPath: "/pull/file", ordinaryInterval: 100 * time.Millisecond, until: poisonEnd, patience: clientTimeout}
 	go func() { // a case that is stopped or overdue leaves no process behind
 		stop := make(chan os.Signal, 1)
 		signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
@@ -94,10 +96,13 @@
 	rec     *recorder
 	store   *store
 
-	// ordinaryPath is the path of the requests that harm no searcher, and ordinaryInterval
-	// the time between two of the clients of a zone.
+	// Requests that harm no searcher have ordinaryPath and come at ordinaryInterval from
+	// each zone.
 	ordinaryPath     string
 	ordinaryInterval time.Duration
+	// The caller whose request crashes searchers repeats it for the time until. It waits
+	// for each answer for as long as its patience.
+	until, patience time.Duration
 	// staleSeeds replaces the seeds of the hosts, if there are any.
 	staleSeeds []string
 
@@ -107,6 +112,7 @@
 
 	mu       sync.Mutex
 	arrivals []arrival
+	crashes  []arrival
 }
 
 // addArrival is the onRun function of the searchers.
@@ -116,11 +122,19 @@
 	s.arrivals = append(s.arrivals, a)
 }
 
-// allArrivals returns the requests that searchers began to run.
-func (s *site) allArrivals() []arrival {
+// addCrash is the onCrash function of the searchers.
+func (s *site) addCrash(a arrival) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]arrival(nil), s.arrivals...)
+	s.crashes = append(s.crashes, a)
+}
+
+// allArrivals returns the requests that searchers began to run and the crashes, each in
+// the order of time.
+func (s *site) allArrivals() (arrivals, crashes []arrival) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals), slices.Clone(s.crashes)
 }
 
 // startHosts starts the store and one host in each zone, and waits until they are ready.
--- a/review/stand-2/poison.go
+++ b/review/stand-2/poison.go
@@ -14,6 +14,14 @@
 	killAt         = 22600 * time.Millisecond
 	downFor        = 600 * time.Millisecond
 	poisonEnd      = 52 * time.Second
+	// impatientEnd leaves time for the end of a quarantine of a minute.
+	impatientEnd = 105 * time.Second
+	// searchObjective is the target latency of a search, and searchWork the time that a
+	// search runs before it crashes its searcher.
+	searchObjective = 150 * time.Millisecond
+	searchWork      = 100 * time.Millisecond
+	// shardCount is the number of shards of the installation.
+	shardCount = 20
 	// replacedMachines is the number of machines that were replaced since the store was
 	// set up.
 	replacedMachines = 600
@@ -23,6 +31,9 @@
 	clientTimeout = 2 * time.Second
 )
 
+// limits are those of the installation.
+var limits = map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 5000, "idle-timeout-ms": 15000}
+
 // zones are the failure domains of the installation, with one host in each.
 var zones = []string{"karachi-a", "lahore-a", "peshawar-a"}
 
@@ -104,6 +115,50 @@
 	return s.tooManyRetries(s.sendPoison("POST", "file 17")), nil
 }
 
+// poisonImpatient sends a search over all shards that crashes the searchers that run it,
+// again and again. The disruption is that its caller leaves within half of the objective.
+func poisonImpatient(s *site, trouble bool) (bool, error) {
+	s.configureSearch()
+	for i := range 2 * shardCount {
+		sr := &searcher{
+			service: shardName(i / 2), name: fmt.Sprintf("i-%d", i+1), zone: zones[i%2], slots: 2, work: searchWork / 10,
+			crashAfter: searchWork, store: s.store, rec: s.rec, onRun: s.addArrival, onCrash: s.addCrash,
+		}
+		if err := sr.start(); err != nil {
+			return false, err
+		}
+	}
+	if err := s.startHosts(zones...); err != nil {
+		return false, err
+	}
+	s.until = impatientEnd
+	if trouble {
+		s.patience = searchObjective / 2
+	}
+	return s.tooManyRetries(s.sendPoison("GET", "")), nil
+}
+
+// shardName returns the service of a shard.
+func shardName(i int) string { return fmt.Sprintf("jury-desk-%d", i) }
+
+// configureSearch writes a manifest with one route to all shards, as shortlist-search.
+func (s *site) configureSearch() {
+	var names []string
+	var services []any
+	for i := range shardCount {
+		names = append(names, shardName(i))
+		services = append(services, map[string]any{"name": shardName(i), "health-path": "/health", "max-connections": 25})
+	}
+	s.store.put("config", "main", map[string]any{
+		"version": 7,
+		"routes": []any{map[string]any{
+			"name": "search", "host": hostName, "path-prefix": "/pull/", "kind": "safe", "gather": names, "top-k": 50, "min-coverage": 0.89,
+			"timeout-ms": 2000, "target-latency-ms": searchObjective.Milliseconds(), "priority": 1, "max-attempts": 2,
+		}},
+		"services": services, "limits": limits,
+	})
+}
+
 // configure writes a manifest with one route to one service.
 func (s *site) configure(kind string, timeoutMs int) {
 	s.store.put("config", "main", map[string]any{
@@ -113,7 +168,7 @@
 			"timeout-ms": timeoutMs, "target-latency-ms": 500, "priority": 2, "max-attempts": 2,
 		}},
 		"services": []any{map[string]any{"name": "hearing-room", "health-path": "/health", "max-connections": 96}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 5000, "idle-timeout-ms": 15000},
+		"limits":   limits,
 	})
 }
 
@@ -122,7 +177,7 @@
 	for i := range n {
 		sr := &searcher{
 			service: "hearing-room", name: fmt.Sprintf("i-%d", i+1), zone: zones[i%len(zones)], slots: 6, work: 40 * time.Millisecond,
-			store: s.store, rec: s.rec, dark: dark, onRun: s.addArrival,
+			store: s.store, rec: s.rec, dark: dark, onRun: s.addArrival, onCrash: s.addCrash,
 		}
 		if err := sr.start(); err != nil {
 			return err
@@ -143,10 +198,10 @@
 	}
 	caller := &client{zone: "caller", caller: poisonCaller, directories: s.directories(), rec: s.rec}
 	var attempts []outcome
-	for next := begin.Add(poisonStart); next.Before(begin.Add(poisonEnd)); next = next.Add(poisonInterval) {
+	for next := begin.Add(poisonStart); next.Before(begin.Add(s.until)); next = next.Add(poisonInterval) {
 		time.Sleep(time.Until(next))
 		at := s.hosts[len(attempts)%len(s.hosts)].entry // the request comes again at any machine
-		attempts = append(attempts, caller.sendTo(at, method, poisonPath, body, clientTimeout))
+		attempts = append(attempts, caller.sendTo(at, method, poisonPath, body, s.patience))
 	}
 	return attempts
 }
@@ -187,13 +242,10 @@
 // searchers through hosts that have run for the stable window.
 func (s *site) tooManyRetries(attempts []outcome) bool {
 	ran := map[string][]arrival{}
-	var crashes []arrival
-	for _, a := range s.allArrivals() {
+	arrivals, crashes := s.allArrivals()
+	for _, a := range arrivals {
 		ran[a.request] = append(ran[a.request], a)
 	}
-	for _, o := range attempts {
-		crashes = append(crashes, ran[o.id]...)
-	}
 	s.rec.add("the request crashed %d searchers", len(crashes))
 	if len(crashes) < 3 {
 		return false
--- a/review/stand-2/searcher.go
+++ b/review/stand-2/searcher.go
@@ -23,7 +23,7 @@
 	poisonCaller = "Bearer juror-17"
 )
 
-// arrival is a request that a searcher began to run.
+// arrival is a request that a searcher began to run, or that crashed it.
 type arrival struct {
 	request  string
 	searcher string
@@ -42,8 +42,13 @@
 	// dark is set if a crash takes the machine with it: connections fall silent and are
 	// not closed until the searcher is back.
 	dark bool
+	// crashAfter is how long a request runs before it crashes the searcher. A request
+	// whose connection closes before is dropped.
+	crashAfter time.Duration
 	// onRun is called when a request begins to run.
 	onRun func(arrival)
+	// onCrash is called when a request crashes the searcher.
+	onCrash func(arrival)
 
 	starts atomic.Int64
 
@@ -197,6 +202,12 @@
 	s.rec.add("runs %s at %s: %s %s, %d bytes, from %s", request, id, r.Method, r.RequestURI, len(body), r.RemoteAddr)
 	s.onRun(arrival{request: request, searcher: id, at: time.Now()})
 	if r.URL.Path == poisonPath && r.Header.Get("Authorization") == poisonCaller {
+		select {
+		case <-time.After(s.crashAfter):
+		case <-r.Context().Done():
+			return
+		}
+		s.onCrash(arrival{request: request, searcher: id, at: time.Now()})
 		s.crash(request)
 		<-r.Context().Done()
 		return
