review: a searcher's late write makes a leaving searcher ready again

Change: case 8, from an entry. It takes the place of the hosts that never meet, whose script and stand-in are removed. The cases are in the order of their gravity now: 6 dark machines, 7 all hosts killed, 9 another caller's success, 10 impatient caller.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -9,4 +9,4 @@
     exit 2
   fi
 done
-exec target/review-2/stand-2 poison-dark target/toucanpulley "review/7"
+exec target/review-2/stand-2 poison-after-kill target/toucanpulley "review/7"
--- a/review/stand-2/hosts.go
+++ b/review/stand-2/hosts.go
@@ -135,8 +135,8 @@
 
 // newHosts writes the settings of one host for each zone, as the template of the deploy
 // file renders them, with the bounds of the dastkar-jury installation. The seeds are the
-// hosts themselves, unless stale ones are given.
-func newHosts(program, folder, storeAddress string, zones, staleSeeds []string, rec *recorder) ([]*host, error) {
+// hosts themselves.
+func newHosts(program, folder, storeAddress string, zones []string, rec *recorder) ([]*host, error) {
 	// Addresses of its own for each run keep runs at the same time apart.
 	pid := os.Getpid()
 	var ips []string
@@ -151,9 +151,6 @@
 	for _, ip := range ips {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", ip, ports[0]))
 	}
-	if len(staleSeeds) > 0 {
-		seeds = staleSeeds
-	}
 	var list []*host
 	for i, zone := range zones {
 		at := func(k int) string { return fmt.Sprintf("%s:%d", ips[i], ports[k]) }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -42,8 +42,8 @@
 	"poison-after-kill": poisonAfterKill,
 	"poison-dark":       poisonDark,
 	"poison-shared":     poisonShared,
-	"poison-apart":      poisonApart,
 	"poison-impatient":  poisonImpatient,
+	"late-write":        lateWrite,
 }
 
 func main() {
@@ -103,8 +103,6 @@
 	// The caller whose request crashes searchers repeats it for the time until. It waits
 	// for each answer for as long as its patience.
 	until, patience time.Duration
-	// staleSeeds replaces the seeds of the hosts, if there are any.
-	staleSeeds []string
 
 	hosts   []*host
 	servers []*http.Server
@@ -150,7 +148,7 @@
 	server := &http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
-	if s.hosts, err = newHosts(s.program, s.folder, l.Addr().String(), zones, s.staleSeeds, s.rec); err != nil {
+	if s.hosts, err = newHosts(s.program, s.folder, l.Addr().String(), zones, s.rec); err != nil {
 		return err
 	}
 	for _, h := range s.hosts {
--- a/review/stand-2/poison.go
+++ b/review/stand-2/poison.go
@@ -22,9 +22,6 @@
 	searchWork      = 100 * time.Millisecond
 	// shardCount is the number of shards of the installation.
 	shardCount = 20
-	// replacedMachines is the number of machines that were replaced since the store was
-	// set up.
-	replacedMachines = 600
 	// maxRetries is the number of retries that the rule allows.
 	maxRetries = 3
 	// clientTimeout is the time budget of each request.
@@ -91,30 +88,6 @@
 	return s.tooManyRetries(s.sendPoison("POST", "file 17")), nil
 }
 
-// poisonApart sends a request that crashes the searchers that run it, again and again,
-// to an installation in which many machines have been replaced. The disruption is that
-// the seeds are stale.
-func poisonApart(s *site, trouble bool) (bool, error) {
-	s.configure("unsafe", 4000)
-	if err := s.startSearchers(4, false); err != nil {
-		return false, err
-	}
-	for i := range replacedMachines {
-		s.store.put("toucan-hosts", fmt.Sprintf("front-karachi-a-%04d", i), map[string]any{
-			"peer": fmt.Sprintf("127.9.%d.%d:7380", i/250, i%250+1), "entry": fmt.Sprintf("127.9.%d.%d:8104", i/250, i%250+1),
-			"failureDomain": "karachi-a", "region": "sindh",
-		})
-	}
-	if trouble {
-		s.staleSeeds = []string{"127.9.9.1:7380", "127.9.9.2:7380", "127.9.9.3:7380"}
-	}
-	if err := s.startHosts(zones...); err != nil {
-		return false, err
-	}
-	time.Sleep(2 * stableWindow)
-	return s.tooManyRetries(s.sendPoison("POST", "file 17")), nil
-}
-
 // poisonImpatient sends a search over all shards that crashes the searchers that run it,
 // again and again. The disruption is that its caller leaves within half of the objective.
 func poisonImpatient(s *site, trouble bool) (bool, error) {
@@ -172,13 +145,19 @@
 	})
 }
 
-// startSearchers starts n searchers of the service, in all zones in turn.
+// newSearcher returns a searcher of the service; searchers are in all zones in turn.
+func (s *site) newSearcher(i int) *searcher {
+	return &searcher{
+		service: "hearing-room", name: fmt.Sprintf("i-%d", i+1), zone: zones[i%len(zones)], slots: 6, work: 40 * time.Millisecond,
+		store: s.store, rec: s.rec, onRun: s.addArrival, onCrash: s.addCrash,
+	}
+}
+
+// startSearchers starts n searchers of the service.
 func (s *site) startSearchers(n int, dark bool) error {
 	for i := range n {
-		sr := &searcher{
-			service: "hearing-room", name: fmt.Sprintf("i-%d", i+1), zone: zones[i%len(zones)], slots: 6, work: 40 * time.Millisecond,
-			store: s.store, rec: s.rec, dark: dark, onRun: s.addArrival, onCrash: s.addCrash,
-		}
+		sr := s.newSearcher(i)
+		sr.dark = dark
 		if err := sr.start(); err != nil {
 			return err
 		}
--- a/review/stand-2/searcher.go
+++ b/review/stand-2/searcher.go
@@ -45,6 +45,10 @@
 	// crashAfter is how long a request runs before it crashes the searcher. A request
 	// whose connection closes before is dropped.
 	crashAfter time.Duration
+	// lateWrite is set if the write before the report of draining is carried out late.
+	lateWrite bool
+	// onLeaving is called when the store has confirmed that the searcher is draining.
+	onLeaving func(arrival)
 	// onRun is called when a request begins to run.
 	onRun func(arrival)
 	// onCrash is called when a request crashes the searcher.
@@ -60,7 +64,10 @@
 	slotFree chan struct{}
 	sequence int
 	born     int64
-	stopped  chan struct{}
+	leaving  bool
+	// leaveNext is the next step of a searcher that shall leave.
+	leaveNext leaveStep
+	stopped   chan struct{}
 }
 
 // start starts a new incarnation and registers it.
@@ -72,7 +79,7 @@
 	s.mu.Lock()
 	s.id = fmt.Sprintf("%s-%d", s.name, s.starts.Add(1))
 	s.listener, s.conns, s.slotFree = l, map[net.Conn]bool{}, make(chan struct{}, s.slots)
-	s.sequence, s.born, s.stopped = 0, time.Now().UnixMilli(), make(chan struct{})
+	s.sequence, s.born, s.leaving, s.stopped = 0, time.Now().UnixMilli(), false, make(chan struct{})
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute, ConnState: s.trackConn}
 	id, server, stopped := s.id, s.server, s.stopped
 	s.mu.Unlock()
@@ -85,7 +92,7 @@
 		for {
 			select {
 			case <-t.C:
-				s.register()
+				s.beat()
 			case <-stopped:
 				return
 			}
@@ -105,19 +112,50 @@
 	}
 }
 
+// beat is the write of a heartbeat. The write that a searcher makes before it leaves may
+// be carried out late.
+func (s *searcher) beat() {
+	s.mu.Lock()
+	leave := s.leaveNext
+	s.mu.Unlock()
+	switch leave {
+	case leaveAfterNext:
+		s.writeLate()
+		s.setLeaveNext(leaveNow)
+	case leaveNow:
+		s.setLeaveNext(stay)
+		s.leave()
+	default:
+		s.register()
+	}
+}
+
+// register writes the entry of the searcher, unless it has stopped.
 func (s *searcher) register() {
+	if id, e, ok := s.nextEntry(); ok {
+		s.store.putEntry(id, e)
+	}
+}
+
+// nextEntry returns the next write of the searcher's entry. It reports false if the
+// searcher has stopped.
+func (s *searcher) nextEntry() (string, entry, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	select {
 	case <-s.stopped:
-		return
+		return "", entry{}, false
 	default:
 	}
 	s.sequence++
-	s.store.put("servers", s.id, map[string]any{
-		"service": s.service, "address": s.listener.Addr().String(), "zone": s.zone, "version": "v1", "slots": s.slots,
-		"state": "ready", "warmup-left-ms": 0, "sequence": s.sequence, "born": s.born,
-	})
+	state := "ready"
+	if s.leaving {
+		state = "draining"
+	}
+	return s.id, entry{
+		Service: s.service, Address: s.listener.Addr().String(), Zone: s.zone, Version: "v1", Slots: s.slots, State: state,
+		Sequence: s.sequence, Born: s.born,
+	}, true
 }
 
 // crash ends the incarnation without a word, as the end of its process would: its
@@ -138,7 +176,7 @@
 	if !s.dark {
 		s.reset()
 	}
-	time.AfterFunc(3*heartbeat, func() { s.store.delete("servers", id) })
+	time.AfterFunc(3*heartbeat, func() { s.store.delete(kindSearchers, id) })
 	time.AfterFunc(backAfter, func() {
 		if s.dark {
 			s.reset()
@@ -168,7 +206,7 @@
 // ServeHTTP implements http.Handler.
 func (s *searcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	id, slotFree, stopped := s.id, s.slotFree, s.stopped
+	id, slotFree, stopped, leaving := s.id, s.slotFree, s.stopped, s.leaving
 	s.mu.Unlock()
 	select {
 	case <-stopped: // a dark machine does not answer
@@ -177,6 +215,9 @@
 	default:
 	}
 	request := r.Header.Get("X-Request-Id")
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("X-Instance-Id", id)
 		return
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -18,6 +18,22 @@
 	maxWatchWait = 30 * time.Second
 )
 
+// kindSearchers is the kind of the searchers' entries.
+const kindSearchers = "servers"
+
+// entry is what a searcher says of itself.
+type entry struct {
+	Service      string `json:"service"`
+	Address      string `json:"address"`
+	Zone         string `json:"zone"`
+	Version      string `json:"version"`
+	Slots        int    `json:"slots"`
+	State        string `json:"state"`
+	WarmUpLeftMs int    `json:"warmup-left-ms"`
+	Sequence     int    `json:"sequence"`
+	Born         int64  `json:"born"`
+}
+
 type objectMeta struct {
 	Name       string   `json:"name"`
 	Revision   uint64   `json:"revision"`
@@ -63,6 +79,27 @@
 	return s.write(kind, name, data)
 }
 
+// putEntry writes the entry of a searcher. The entry changes only if more than its
+// sequence does.
+func (s *store) putEntry(name string, e entry) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, known := s.objects[kindSearchers][name]; known {
+		var old entry
+		if err := json.Unmarshal(o.Spec, &old); err == nil {
+			old.Sequence = e.Sequence
+			if old == e {
+				return
+			}
+		}
+	}
+	s.write(kindSearchers, name, data)
+}
+
 // write stores an object. The caller must hold mu.
 func (s *store) write(kind, name string, spec json.RawMessage) uint64 {
 	s.revision++
