--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -53,7 +53,7 @@
 
 func ask(ctx context.Context, directory, zone string) ([]string, time.Duration, error) {
 	query := url.Values{"name": {hostName}, "region": {"sindh"}, "zone": {zone}}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+"/api/resolve?"+query.Encode(), nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+wire.ResolvePath+"?"+query.Encode(), nil)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -122,7 +122,7 @@
 	for k, vs := range c.headers {
 		r.Header[k] = vs
 	}
-	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
+	r.Header.Set(wire.DeadlineHeader, strconv.FormatInt(timeout.Milliseconds(), 10))
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	answer, err := transport.RoundTrip(r)
@@ -134,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	o.status, o.stamp, o.body = answer.StatusCode, answer.Header.Get("X-Server-Stamp"), string(content)
+	o.status, o.stamp, o.body = answer.StatusCode, answer.Header.Get(wire.StampHeader), string(content)
 	if seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64); err == nil {
 		o.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/review/stand-2/hosts.go
+++ b/review/stand-2/hosts.go
@@ -47,7 +47,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c := exec.Command(h.program, "platform")
-	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TOUCANPULLEY_BOOT=" + h.settings}
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), wire.SettingsVariable + "=" + h.settings}
 	log, err := os.OpenFile(h.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -86,7 +86,7 @@
 // waitReady waits until the health check of the platform passes.
 func (h *host) waitReady(limit time.Duration) error {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		answer, err := http.Get("http://" + h.ready + "/api/ready")
+		answer, err := http.Get("http://" + h.ready + wire.ReadyPath)
 		if err != nil {
 			continue
 		}
--- a/review/stand-2/poison.go
+++ b/review/stand-2/poison.go
@@ -16,7 +16,7 @@
 	poisonEnd      = 52 * time.Second
 	// impatientEnd leaves time for the end of a quarantine of a minute.
 	impatientEnd = 105 * time.Second
-	// searchObjective is the target latency of a search, and searchWork the time that a
+	// searchObjective is the target latency of a search, as in wire.json, and searchWork the time that a
 	// search runs before it crashes its searcher.
 	searchObjective = 150 * time.Millisecond
 	searchWork      = 100 * time.Millisecond
@@ -123,11 +123,8 @@
 		services = append(services, map[string]any{"name": shardName(i), "health-path": "/health", "max-connections": 25})
 	}
 	s.store.put("config", "main", map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "search", "host": hostName, "path-prefix": "/pull/", "kind": "safe", "gather": names, "top-k": 50, "min-coverage": 0.89,
-			"timeout-ms": 2000, "target-latency-ms": searchObjective.Milliseconds(), "priority": 1, "max-attempts": 2,
-		}},
+		"version":  7,
+		"routes":   []any{route(wire.SearchRoute, map[string]any{"host": hostName, "gather": names})},
 		"services": services, "limits": limits,
 	})
 }
@@ -135,11 +132,8 @@
 // configure writes a manifest with one route to one service.
 func (s *site) configure(kind string, timeoutMs int) {
 	s.store.put("config", "main", map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "pull", "host": hostName, "path-prefix": "/pull/", "kind": kind, "service": "hearing-room",
-			"timeout-ms": timeoutMs, "target-latency-ms": 500, "priority": 2, "max-attempts": 2,
-		}},
+		"version":  7,
+		"routes":   []any{route(wire.SingleRoute, map[string]any{"host": hostName, "kind": kind, "timeout-ms": timeoutMs})},
 		"services": []any{map[string]any{"name": "hearing-room", "health-path": "/health", "max-connections": 96}},
 		"limits":   limits,
 	})
--- a/review/stand-2/searcher.go
+++ b/review/stand-2/searcher.go
@@ -216,7 +216,7 @@
 	}
 	request := r.Header.Get("X-Request-Id")
 	if leaving {
-		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set(wire.LeavingHeader, "1")
 	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("X-Instance-Id", id)
@@ -227,8 +227,8 @@
 		return
 	}
 	w.Header().Set("X-Request-Id", request)
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != id {
-		w.Header().Set("X-Not-Executed", "1")
+	if want := r.Header.Get(wire.InstanceHeader); want != "" && want != id {
+		w.Header().Set(wire.NotRunHeader, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -236,7 +236,7 @@
 	case slotFree <- struct{}{}:
 		defer func() { <-slotFree }()
 	default:
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(wire.NotRunHeader, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -265,7 +265,7 @@
 	default:
 	}
 	content := fmt.Sprintf("%s by %s\n", request, id)
-	w.Header().Set("X-Server-Stamp", stamp(request, id, content))
+	w.Header().Set(wire.StampHeader, stamp(request, id, content))
 	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	_, _ = io.WriteString(w, content)
 }
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -23,15 +23,32 @@
 
 // entry is what a searcher says of itself.
 type entry struct {
-	Service      string `json:"service"`
-	Address      string `json:"address"`
-	Zone         string `json:"zone"`
-	Version      string `json:"version"`
-	Slots        int    `json:"slots"`
-	State        string `json:"state"`
-	WarmUpLeftMs int    `json:"warmup-left-ms"`
-	Sequence     int    `json:"sequence"`
-	Born         int64  `json:"born"`
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Version  string `json:"version"`
+	Slots    int    `json:"slots"`
+	State    string `json:"state"`
+	Sequence int    `json:"sequence"`
+	Born     int64  `json:"born"`
+}
+
+// encode returns the entry of a searcher that is no longer slow after its start.
+func (e entry) encode() json.RawMessage {
+	fields := map[string]any{}
+	data, err := json.Marshal(e)
+	if err == nil {
+		err = json.Unmarshal(data, &fields)
+	}
+	fields[wire.WarmUpField] = 0
+	fields["born"] = e.Born // an integer, not a float
+	if err == nil {
+		data, err = json.Marshal(fields)
+	}
+	if err != nil {
+		panic(err)
+	}
+	return data
 }
 
 type objectMeta struct {
@@ -82,10 +99,6 @@
 // putEntry writes the entry of a searcher. The entry changes only if more than its
 // sequence does.
 func (s *store) putEntry(name string, e entry) {
-	data, err := json.Marshal(e)
-	if err != nil {
-		panic(err)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if o, known := s.objects[kindSearchers][name]; known {
@@ -97,7 +110,7 @@
 			}
 		}
 	}
-	s.write(kindSearchers, name, data)
+	s.write(kindSearchers, name, e.encode())
 }
 
 // write stores an object. The caller must hold mu.
@@ -138,9 +151,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, wire.ObjectsPath), "/")
 	switch {
-	case !strings.HasPrefix(r.URL.Path, "/api/objects/"):
+	case !strings.HasPrefix(r.URL.Path, wire.ObjectsPath):
 		http.NotFound(w, r)
 	case r.Method == http.MethodPost && name == "":
 		s.create(w, r, kind)
