platform: take a reply with a malformed field line for none

What callers saw: a searcher sent a reply in which the name of a field held a blank. Its caller got it as an answer: 200 with the searcher's signature, also in a merged answer, and for a request that may not be repeated. With "Content-Length : 2" the body lasted until the connection closed or the deadline passed.

Cause: net/textproto accepts blanks in names, and a line that begins with a blank as a continuation of the value before it, in heads and trailers.

--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -6,10 +6,11 @@
 //
 // # Usage
 //
-//	response, err := http.ReadResponse(reader, request)
-//	if err == nil {
-//		err = heads.Check(response)
+//	response, err := heads.ReadResponse(reader, request, maxHeadBytes)
+//	if err != nil {
+//		return err // the connection must be closed
 //	}
+//	body, err := io.ReadAll(response.Body)
 package heads
 
 import (
@@ -19,16 +20,29 @@
 	"strings"
 )
 
-// Check returns an error if a response has no valid status code.
+// tokenChars holds the characters of a token (RFC 9110, section 5.6.2).
+const tokenChars = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+// Check returns an error if a response has no valid status code or the name of a field
+// is no token.
 func Check(r *http.Response) error {
 	// Status has the code as it was sent. Its conversion to a number accepts signs.
 	code, _, _ := strings.Cut(r.Status, " ")
 	if !ValidStatus(r.StatusCode) || code != strconv.Itoa(r.StatusCode) {
 		return fmt.Errorf("malformed response: invalid status code %q", code)
 	}
-	return nil
+	return checkNames(r.Header)
 }
 
 // ValidStatus reports whether a status code is in the range of valid codes (RFC 9110,
 // section 15).
 func ValidStatus(code int) bool { return code >= 100 && code <= 599 }
+
+func checkNames(h http.Header) error {
+	for name := range h {
+		if name == "" || strings.TrimLeft(name, tokenChars) != "" {
+			return fmt.Errorf("malformed response: invalid field name %q", name)
+		}
+	}
+	return nil
+}
