heads: reject malformed status lines and chunks in HTTP/1.0

What callers saw: a reply with a control byte in its status line or in another version of HTTP was passed on as one of HTTP/1.1. Of a reply of HTTP/1.0 with a Transfer-Encoding, chunk sizes and all became the body once the connection closed.

Cause: http.ReadResponse does not look at the reason phrase, leaves the version to its caller, and drops Transfer-Encoding in HTTP/1.0 (RFC 9112, section 6.1, calls such framing faulty).

Change: ReadResponse rejects the three, so that the call fails as truncated and its connection ends.

Evidence: TestMalformedFrameIsNoReply failed before in 5 of its 6 cases; a version without a minor number was rejected already. All pass now.

--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -23,14 +23,17 @@
 // tokenChars holds the characters of a token (RFC 9110, section 5.6.2).
 const tokenChars = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 
-// Check returns an error if a response has no valid status code or the name of a field
-// is no token.
+// Check returns an error if a response has no valid status code, a control byte in its
+// status line, or a field whose name is no token.
 func Check(r *http.Response) error {
 	// Status has the code as it was sent. Its conversion to a number accepts signs.
 	code, _, _ := strings.Cut(r.Status, " ")
 	if !ValidStatus(r.StatusCode) || code != strconv.Itoa(r.StatusCode) {
 		return fmt.Errorf("malformed response: invalid status code %q", code)
 	}
+	if strings.ContainsFunc(r.Status, func(c rune) bool { return c < ' ' && c != '\t' || c == '\x7f' }) {
+		return fmt.Errorf("malformed response: control byte in the status %q", r.Status)
+	}
 	return checkNames(r.Header)
 }
 
--- a/internal/heads/read.go
+++ b/internal/heads/read.go
@@ -38,10 +38,16 @@
 		return nil, err
 	}
 	response, err := parse(head, func(p *bufio.Reader) (*http.Response, error) { return http.ReadResponse(p, request) })
-	if err != nil {
-		return nil, err
+	if err == nil {
+		err = Check(response)
 	}
 	switch {
+	case err != nil:
+		return nil, err
+	case response.ProtoMajor != 1:
+		return nil, fmt.Errorf("malformed response: unexpected version %q", response.Proto)
+	case response.ProtoMinor == 0 && hasTransferCoding(head):
+		return nil, errors.New("malformed response: transfer coding in a response of HTTP/1.0")
 	case response.Body == http.NoBody:
 	case response.ContentLength >= 0:
 		response.Body = io.NopCloser(&sizedBody{io.LimitedReader{R: r, N: response.ContentLength}})
@@ -50,7 +56,14 @@
 	default:
 		response.Body = io.NopCloser(r)
 	}
-	return response, Check(response)
+	return response, nil
+}
+
+// hasTransferCoding reports whether a head has a Transfer-Encoding field, which
+// http.ReadResponse drops from responses of HTTP/1.0. Their framing is faulty (RFC 9112,
+// section 6.1).
+func hasTransferCoding(head []byte) bool {
+	return bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:"))
 }
 
 // parse parses a section that has been read.
