--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -11,6 +11,10 @@
 //		return err // the connection must be closed
 //	}
 //	body, err := io.ReadAll(response.Body)
+//
+// A client that leaves its connections to net/http uses a Transport:
+//
+//	client := &http.Client{Transport: heads.Transport{Next: &http.Transport{}}}
 package heads
 
 import (
