dial: take a malformed reply of a searcher for none

What callers saw: a keyed request was reported as not run, and could be sent again, after a reply with status 000 or 999 whose body said so. A result with the status "+200" or "0200" was taken as the searcher's.

Cause: net/http takes any :status that strconv.Atoi does, and connect reads the error in the body of a reply with any other status than 200. Malformed field names end the stream only, so that the connection carried further calls.

Change: the pool's transport is a heads.Transport. It also closes the connection if net/http ends a stream with PROTOCOL_ERROR, which other calls on the connection do not survive; they fail as lost, may have run. What else comes on a connection on which a searcher breaks the format cannot be relied on.

Evidence: TestMalformedReplyIsNoReply failed before in all of its 10 cases: in 4 the reply was used, in 6 the connection stayed open for 10 s. TestInterimReplyAndTrailer passed before and keeps sound replies accepted. All pass now.

--- a/internal/dial/pool.go
+++ b/internal/dial/pool.go
@@ -3,7 +3,8 @@
 // A Pool has an HTTP/2 transport for each searcher. Connections are opened ahead
 // of use, are reused, and never exceed the host's share of the searcher's
 // connection cap. With HTTP/2, cancelling a call resets its stream and keeps the
-// connection, which takes some searchers 6 ms to open.
+// connection, which takes some searchers 6 ms to open. A malformed reply ends its
+// connection.
 //
 // # Usage
 //
@@ -23,6 +24,7 @@
 
 	"connectrpc.com/connect"
 
+	"toucanpulley.example/internal/heads"
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/view"
 	"toucanpulley.example/pkg/search"
@@ -182,7 +184,7 @@
 	}
 	return &searcherClient{
 		address: s.Address, maxConnections: maxConns, grant: grant, transport: transport,
-		client: search.NewSearcherServiceClient(&http.Client{Transport: bodyLimiter{transport}}, scheme+string(s.Address), options...),
+		client: search.NewSearcherServiceClient(&http.Client{Transport: bodyLimiter{heads.Transport{Next: transport}}}, scheme+string(s.Address), options...),
 	}
 }
 
--- a/internal/heads/transport.go
+++ b/internal/heads/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -27,6 +28,9 @@
 	})
 	response, err := t.Next.RoundTrip(r.WithContext(ctx))
 	if err != nil {
+		if isProtocolError(err) {
+			closeConn(conn)
+		}
 		return nil, err
 	}
 	if err := Check(response); err != nil {
@@ -34,7 +38,7 @@
 		_ = response.Body.Close() // its connection is closed
 		return nil, err
 	}
-	if len(response.TransferEncoding) > 0 {
+	if response.ProtoMajor == 2 || len(response.TransferEncoding) > 0 {
 		response.Body = &trailerChecker{response.Body, response, conn}
 	}
 	return response, nil
@@ -59,11 +63,33 @@
 // Read implements io.Reader.
 func (c *trailerChecker) Read(to []byte) (int, error) {
 	n, err := c.ReadCloser.Read(to)
+	malformed := isProtocolError(err)
 	if errors.Is(err, io.EOF) {
-		if malformed := checkNames(c.response.Trailer); malformed != nil {
-			closeConn(c.conn)
-			return n, malformed
+		if nameErr := checkNames(c.response.Trailer); nameErr != nil {
+			malformed, err = true, nameErr
 		}
 	}
+	if malformed {
+		closeConn(c.conn)
+	}
 	return n, err
 }
+
+// streamError has the fields of http2.StreamError of golang.org/x/net, to which net/http
+// converts its own type.
+type streamError struct {
+	StreamID uint32
+	Code     uint32
+	Cause    error
+}
+
+// Error implements error.
+func (e streamError) Error() string { return fmt.Sprintf("stream error %d: %v", e.Code, e.Cause) }
+
+// isProtocolError reports whether an HTTP/2 stream ended because of a malformed message,
+// for which net/http keeps the connection.
+func isProtocolError(err error) bool {
+	const protocolError = 0x1 // RFC 9113, section 7
+	var e streamError
+	return errors.As(err, &e) && e.Code == protocolError
+}
