client, store, cmds: take a malformed answer for none

What callers saw: a request that may have run was reported as not run, and sent to another host, after an answer with status 000 whose body said so. An object counted as missing, or a write as a conflict, after such a response of the platform. Commands printed the content of a malformed response and reported success.

Change: these clients use heads.Transport.

--- a/internal/cmds/caller.go
+++ b/internal/cmds/caller.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"toucanpulley.example/internal/fault"
+	"toucanpulley.example/internal/heads"
 	"toucanpulley.example/pkg/client"
 	"toucanpulley.example/pkg/entry"
 )
@@ -65,6 +66,9 @@
 	return config, nil
 }
 
+// plainClient sends requests without TLS. Malformed responses fail them.
+var plainClient = &http.Client{Transport: heads.Transport{Next: http.DefaultTransport}}
+
 // httpClient returns an HTTP client and the base URL of a host. If the flags are
 // invalid or a file cannot be read, every call of the client fails.
 func (h *hostFlags) httpClient(address string) (*http.Client, string) {
@@ -73,9 +77,10 @@
 	case err != nil:
 		return &http.Client{Transport: failingTransport{err}}, "https://" + address
 	case config == nil:
-		return http.DefaultClient, "http://" + address
+		return plainClient, "http://" + address
 	default:
-		return &http.Client{Transport: &http.Transport{TLSClientConfig: config, ForceAttemptHTTP2: true}}, "https://" + address
+		transport := &http.Transport{TLSClientConfig: config, ForceAttemptHTTP2: true}
+		return &http.Client{Transport: heads.Transport{Next: transport}}, "https://" + address
 	}
 }
 
--- a/internal/cmds/devrelay.go
+++ b/internal/cmds/devrelay.go
@@ -57,10 +57,9 @@
 func (d *dev) queryRelay(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, relayStartTimeout)
 	defer cancel()
-	client := &http.Client{}
-	defer client.CloseIdleConnections()
+	defer plainClient.CloseIdleConnections()
 	for n := 1; ; n++ {
-		response, err := shard.Send(ctx, client, address, "/all/"+url.PathEscape(d.query), fmt.Sprint("dev-", n), false)
+		response, err := shard.Send(ctx, plainClient, address, "/all/"+url.PathEscape(d.query), fmt.Sprint("dev-", n), false)
 		if err == nil && response.StatusCode == http.StatusOK {
 			defer func() { _ = response.Body.Close() }()
 			return d.printResponse(response)
--- a/internal/cmds/relaystatus.go
+++ b/internal/cmds/relaystatus.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return doc, fault.Wrap(err, "get status", address)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := plainClient.Do(request)
 	if err != nil {
 		return doc, fault.Wrap(err, "get status", address)
 	}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	"toucanpulley.example/internal/fault"
+	"toucanpulley.example/internal/heads"
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/object"
 )
@@ -35,7 +36,8 @@
 
 // NewClient returns a client of the platform at a base URL.
 func NewClient(baseURL string) *Client {
-	return &Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, baseURL: baseURL}
+	transport := heads.Transport{Next: &http.Transport{MaxIdleConnsPerHost: 8}}
+	return &Client{HTTP: &http.Client{Transport: transport}, baseURL: baseURL}
 }
 
 func (c *Client) service() object.ObjectServiceClient {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -30,6 +30,7 @@
 	"sync"
 	"time"
 
+	"toucanpulley.example/internal/heads"
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/tick"
 	"toucanpulley.example/pkg/entry"
@@ -71,7 +72,8 @@
 	RetryShare float64
 	// TLS is the configuration for connections to entry hosts; nil disables TLS.
 	TLS *tls.Config
-	// HTTP is used for all calls. If TLS is set, its transport is replaced.
+	// HTTP is used for all calls. If TLS is set, its transport is replaced. The default
+	// rejects malformed answers and closes their connections.
 	HTTP *http.Client
 
 	startOnce  sync.Once
@@ -110,17 +112,18 @@
 	}
 }
 
-// newTransport returns an HTTP/2 transport, without TLS if config is nil.
-func newTransport(config *tls.Config) *http.Transport {
+// newTransport returns an HTTP/2 transport that rejects malformed answers, without TLS
+// if config is nil.
+func newTransport(config *tls.Config) http.RoundTripper {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP2(config != nil)
 	protocols.SetUnencryptedHTTP2(config == nil)
-	return &http.Transport{
+	return heads.Transport{Next: &http.Transport{
 		Protocols: protocols, IdleConnTimeout: idleTimeout, TLSClientConfig: config,
 		TLSHandshakeTimeout: connectTimeout,
 		HTTP2:               &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-	}
+	}}
 }
 
 // Search runs an idempotent query. The error is an *Error.
