wire: take a delegated reply without a valid status for none

What callers saw: nothing yet.

Cause: DecodeGuestReplies took any number for a status.

Change: such a result is a failed call, may have run, as for a reply that this host reads itself.

Evidence: TestDelegatedReplyWithoutValidStatus failed before on its first case. Replies that a delegate of this build reads are checked as all others; see TestMalformedRepliesToDelegatedCalls.

--- a/internal/wire/delegate.go
+++ b/internal/wire/delegate.go
@@ -1,8 +1,10 @@
 package wire
 
 import (
+	"fmt"
 	"time"
 
+	"toucanpulley.example/internal/heads"
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/peer"
 	"toucanpulley.example/internal/relay"
@@ -65,15 +67,19 @@
 }
 
 // DecodeGuestReplies decodes the results of calls that this host delegated. A failure
-// that is not known counts as one of the other host.
+// that is not known counts as one of the other host, and a reply without a valid status
+// as none.
 func DecodeGuestReplies(m *peer.DeliverRequest) []relay.GuestResult {
 	list := make([]relay.GuestResult, 0, len(m.GetResults()))
 	for _, d := range m.GetResults() {
 		r := relay.GuestResult{Call: relay.CallID(d.GetCall())}
-		if d.GetFailed() {
+		switch status := d.GetStatus(); {
+		case d.GetFailed():
 			r.Failed, r.NotRun, r.Cause = true, d.GetNotRun(), d.GetCause()
 			r.Failure = model.Failure(min(d.GetFailure(), uint32(model.FailureDelegate)))
-		} else {
+		case !heads.ValidStatus(int(status)):
+			r.Failed, r.Failure, r.Cause = true, model.FailureTruncated, fmt.Sprintf("the reply has the invalid status %d", status)
+		default:
 			r.Reply = relay.Reply{
 				Status: int(d.GetStatus()), Signature: d.GetSignature(), Body: d.GetBody(), NotRun: d.GetNotRun(),
 				Misdirected: d.GetMisdirected(), Leaving: d.GetLeaving(), RetryAfter: time.Duration(d.GetRetryAfterMs()) * time.Millisecond,
