link: test that a peer's malformed answer is none

Cause: forwarded requests and delegated calls have their answers from peers, by drpc. Change: a test; the case was handled already. The call fails without ErrNotSent, and the pool closes its connection.

--- a/internal/link/answer_test.go
+++ b/internal/link/answer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -16,6 +17,7 @@
 
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/peer"
+	"toucanpulley.example/stand/canned"
 )
 
 const forwardMethod = "/toucan.peer.v1.PeerService/Forward"
@@ -99,3 +101,26 @@
 func (protoEncoding) Unmarshal(b []byte, m drpc.Message) error {
 	return proto.Unmarshal(b, m.(proto.Message))
 }
+
+// Guards against bytes in another format that are taken for a peer's answer to a
+// forwarded request, or for proof that it was not sent. Their connection must not carry
+// another call.
+func TestMalformedAnswerOfAPeer(t *testing.T) {
+	for _, answer := range []string{"HTTP/1.1 000 \r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "\x00\x00\x00\x00"} {
+		is := is.New(t)
+		s := canned.NewServer()
+		s.Serve = func(c net.Conn) {
+			_, _ = io.ReadAtLeast(c, make([]byte, 1<<10), 1)
+			_, _ = io.WriteString(c, answer) // fails if the host has closed the connection
+			_, _ = io.Copy(io.Discard, c)    // until the host closes it
+		}
+		is.NoErr(s.Run(t.Context()))
+		p := newPool(t)
+		p.Timeout = 200 * time.Millisecond // bytes that look like the start of a message end the call only then
+		_, err := p.Forward(t.Context(), model.Address(s.Address()), &peer.ForwardRequest{Request: []byte{1}, TimeoutMs: 5000})
+		is.True(err != nil)
+		is.True(!errors.Is(err, ErrNotSent))
+		<-s.Closed()
+		is.NoErr(s.Close())
+	}
+}
