--- a/internal/dial/malformed_test.go
+++ b/internal/dial/malformed_test.go
@@ -64,15 +64,35 @@
 			is.True(errors.As(err, &failed))
 			is.Equal(failed.Failure, model.FailureLost)
 			is.True(!failed.NotStarted)
-			select {
-			case <-s.Closed():
-			case <-time.After(10 * time.Second):
-				t.Error("the connection of the malformed reply stays open")
-			}
+			expectClosed(t, s)
 		})
 	}
 }
 
+// expectClosed checks that the host closes a connection to the server.
+func expectClosed(t *testing.T, s *canned.Server) {
+	t.Helper()
+	select {
+	case <-s.Closed():
+	case <-time.After(10 * time.Second):
+		t.Error("the connection of the malformed reply stays open")
+	}
+}
+
+// Guards against a connection that is kept for calls after a malformed reply to the
+// health check that opened it.
+func TestMalformedHealthReplyEndsConnection(t *testing.T) {
+	is := is.New(t)
+	s := canned.NewServer()
+	s.Serve = canned.HTTP2(canned.HTTP2Reply{Status: "200", Header: []string{"content-type", "application/proto", "x-odd name", "v"}})
+	is.NoErr(s.Run(t.Context()))
+	defer func() { is.NoErr(s.Close()) }()
+	p := NewPool()
+	defer func() { is.NoErr(p.Close()) }()
+	p.ensureClient(model.Searcher{ID: "s", Address: model.Address(s.Address()), ConnectionCap: 2}, 2)
+	expectClosed(t, s)
+}
+
 // Guards against the loss of a search whose reply has sound interim replies and
 // trailers.
 func TestInterimReplyAndTrailer(t *testing.T) {
