heads: reuse the buffers of heads, look up token characters in a table

Cause: the first form of ReadResponse took 5 allocations, 600 bytes and about 1.6 us more for a reply than http.ReadResponse. Change: the buffer and the parser of a head come from a pool, bodies are one value each, and names are checked by a table.

--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -24,8 +24,13 @@
 	"strings"
 )
 
-// tokenChars holds the characters of a token (RFC 9110, section 5.6.2).
-const tokenChars = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+// isTokenChar holds the characters of a token (RFC 9110, section 5.6.2).
+var isTokenChar = func() (set [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		set[c] = true
+	}
+	return set
+}()
 
 // Check returns an error if a response has no valid status code, a control byte in its
 // status line, or a field whose name is no token.
@@ -47,9 +52,18 @@
 
 func checkNames(h http.Header) error {
 	for name := range h {
-		if name == "" || strings.TrimLeft(name, tokenChars) != "" {
+		if !isToken(name) {
 			return fmt.Errorf("malformed response: invalid field name %q", name)
 		}
 	}
 	return nil
 }
+
+func isToken(s string) bool {
+	for _, c := range []byte(s) {
+		if !isTokenChar[c] {
+			return false
+		}
+	}
+	return s != ""
+}
--- a/internal/heads/read.go
+++ b/internal/heads/read.go
@@ -10,21 +10,17 @@
 	"net/http"
 	"net/http/httputil"
 	"net/textproto"
-	"sync"
 )
 
 const (
-	// typicalHeadBytes is the size of the buffer for a head; larger heads extend it.
-	typicalHeadBytes = 512
-	// parseBufferBytes is the size of the buffer from which a head is parsed.
+	// typicalSectionBytes is the size of the buffer for a section; larger ones extend it.
+	typicalSectionBytes = 512
+	// parseBufferBytes is the size of the buffer from which a section is parsed.
 	parseBufferBytes = 1 << 10
 )
 
 var errIndented = errors.New("malformed response: a field line begins with a blank")
 
-// parsers holds readers from which heads are parsed.
-var parsers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, parseBufferBytes) }}
-
 // ReadResponse is like http.ReadResponse, but returns an error if the head breaks the
 // format or has more than maxBytes. A field line that is continued on another line, an
 // obsolete form that a gateway may reject (RFC 9112, section 5.2), breaks it too, since
@@ -33,11 +29,12 @@
 // It does not read beyond the response. The body ends with an error if the trailer
 // breaks the format; trailer fields are dropped. Close of the body has no effect.
 func ReadResponse(r *bufio.Reader, request *http.Request, maxBytes int) (*http.Response, error) {
-	head, err := readSection(r, maxBytes)
-	if err != nil {
+	s := sections.get()
+	defer s.release()
+	if err := s.read(r, maxBytes); err != nil {
 		return nil, err
 	}
-	response, err := parse(head, func(p *bufio.Reader) (*http.Response, error) { return http.ReadResponse(p, request) })
+	response, err := http.ReadResponse(s.parser, request)
 	if err == nil {
 		err = Check(response)
 	}
@@ -46,61 +43,75 @@
 		return nil, err
 	case response.ProtoMajor != 1:
 		return nil, fmt.Errorf("malformed response: unexpected version %q", response.Proto)
-	case response.ProtoMinor == 0 && hasTransferCoding(head):
+	case response.ProtoMinor == 0 && s.hasTransferCoding():
 		return nil, errors.New("malformed response: transfer coding in a response of HTTP/1.0")
 	case response.Body == http.NoBody:
 	case response.ContentLength >= 0:
-		response.Body = io.NopCloser(&sizedBody{io.LimitedReader{R: r, N: response.ContentLength}})
+		response.Body = &sizedBody{io.LimitedReader{R: r, N: response.ContentLength}}
 	case len(response.TransferEncoding) > 0:
-		response.Body = io.NopCloser(&chunkedBody{chunks: httputil.NewChunkedReader(r), source: r, maxBytes: maxBytes})
+		response.Body = &chunkedBody{chunks: httputil.NewChunkedReader(r), source: r, maxBytes: maxBytes}
 	default:
 		response.Body = io.NopCloser(r)
 	}
 	return response, nil
 }
 
-// hasTransferCoding reports whether a head has a Transfer-Encoding field, which
-// http.ReadResponse drops from responses of HTTP/1.0. Their framing is faulty (RFC 9112,
-// section 6.1).
-func hasTransferCoding(head []byte) bool {
-	return bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:"))
+// section holds the lines of a head or a trailer, with the empty line that ends them,
+// and a reader to parse them from.
+type section struct {
+	lines  []byte
+	source bytes.Reader
+	parser *bufio.Reader
 }
 
-// parse parses a section that has been read.
-func parse[T any](section []byte, with func(*bufio.Reader) (T, error)) (T, error) {
-	parser, _ := parsers.Get().(*bufio.Reader)
-	defer parsers.Put(parser)
-	defer parser.Reset(nil) // releases the section
-	parser.Reset(bytes.NewReader(section))
-	return with(parser)
+var sections = newPool(newSection)
+
+func newSection() *section {
+	return &section{lines: make([]byte, 0, typicalSectionBytes), parser: bufio.NewReaderSize(nil, parseBufferBytes)}
+}
+
+// release makes the section available for another use, unless its buffer has grown.
+func (s *section) release() {
+	if cap(s.lines) <= parseBufferBytes {
+		sections.put(s)
+	}
 }
 
-// readSection reads field lines and the empty line that ends them.
-func readSection(r *bufio.Reader, maxBytes int) ([]byte, error) {
-	section := make([]byte, 0, typicalHeadBytes)
+// read reads the lines of a section.
+func (s *section) read(r *bufio.Reader, maxBytes int) error {
+	s.lines = s.lines[:0]
 	lineStart := 0
 	for {
 		part, err := r.ReadSlice('\n')
-		section = append(section, part...)
-		line := section[lineStart:]
+		s.lines = append(s.lines, part...)
+		line := s.lines[lineStart:]
 		switch {
-		case len(section) > maxBytes:
-			return nil, fmt.Errorf("malformed response: head or trailer has more than %d bytes", maxBytes)
+		case len(s.lines) > maxBytes:
+			return fmt.Errorf("malformed response: head or trailer has more than %d bytes", maxBytes)
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF):
-			return nil, io.ErrUnexpectedEOF
+			return io.ErrUnexpectedEOF
 		case err != nil:
-			return nil, err
+			return err
 		case line[0] == ' ' || line[0] == '\t':
-			return nil, errIndented
+			return errIndented
 		case string(line) == "\r\n" || string(line) == "\n":
-			return section, nil
+			s.source.Reset(s.lines)
+			s.parser.Reset(&s.source)
+			return nil
 		default:
-			lineStart = len(section)
+			lineStart = len(s.lines)
 		}
 	}
 }
 
+// hasTransferCoding reports whether a head has a Transfer-Encoding field, which
+// http.ReadResponse drops from responses of HTTP/1.0. Their framing is faulty (RFC 9112,
+// section 6.1).
+func (s *section) hasTransferCoding() bool {
+	return bytes.Contains(bytes.ToLower(s.lines), []byte("\ntransfer-encoding:"))
+}
+
 // sizedBody is a body of a known length.
 type sizedBody struct{ io.LimitedReader }
 
@@ -113,6 +124,9 @@
 	return n, err
 }
 
+// Close implements io.Closer.
+func (*sizedBody) Close() error { return nil }
+
 // chunkedBody is a body in chunks and the trailer after it.
 type chunkedBody struct {
 	chunks   io.Reader
@@ -134,13 +148,15 @@
 	return n, err
 }
 
+// Close implements io.Closer.
+func (*chunkedBody) Close() error { return nil }
+
 func (b *chunkedBody) readTrailer() error {
-	section, err := readSection(b.source, b.maxBytes)
-	if err != nil {
+	s := sections.get()
+	defer s.release()
+	if err := s.read(b.source, b.maxBytes); err != nil {
 		return err
 	}
-	trailer, err := parse(section, func(p *bufio.Reader) (textproto.MIMEHeader, error) {
-		return textproto.NewReader(p).ReadMIMEHeader()
-	})
+	trailer, err := textproto.NewReader(s.parser).ReadMIMEHeader()
 	return cmp.Or(err, checkNames(http.Header(trailer)))
 }
