heads: accept no trailer that net/http rejects, compare with net/http

Cause: found by a test that reads the same bytes with net/http: ReadResponse took lines of a trailer that end without a carriage return, which net/http rejects. Change: it rejects them. TestReadResponseIsLikeNetHTTP and FuzzReadResponse check that what it accepts has the same status, header, body and end as by net/http; TestSectionsAreBounded that heads and trailers keep to the limit.

--- a/internal/heads/read.go
+++ b/internal/heads/read.go
@@ -19,7 +19,10 @@
 	parseBufferBytes = 1 << 10
 )
 
-var errIndented = errors.New("malformed response: a field line begins with a blank")
+var (
+	errIndented     = errors.New("malformed response: a field line begins with a blank")
+	errBareLineFeed = errors.New("malformed response: a line of the trailer ends without a carriage return")
+)
 
 // ReadResponse is like http.ReadResponse, but returns an error if the head breaks the
 // format or has more than maxBytes. A field line that is continued on another line, an
@@ -157,6 +160,9 @@
 	if err := s.read(b.source, b.maxBytes); err != nil {
 		return err
 	}
+	if bytes.Count(s.lines, []byte("\n")) != bytes.Count(s.lines, []byte("\r\n")) {
+		return errBareLineFeed // net/http accepts it in heads only
+	}
 	trailer, err := textproto.NewReader(s.parser).ReadMIMEHeader()
 	return cmp.Or(err, checkNames(http.Header(trailer)))
 }
