canned: wait for closed connections in one place

Cause: four tests had the same wait. Change: Server.WaitClosed takes the place of Closed. No check or bound changes, but for internal/link, whose wait had no bound of its own.

--- a/internal/dial/malformed_test.go
+++ b/internal/dial/malformed_test.go
@@ -17,6 +17,9 @@
 	"toucanpulley.example/stand/canned"
 )
 
+// closeTimeout bounds the wait for a connection to be closed.
+const closeTimeout = 10 * time.Second
+
 // Guards against a malformed reply that is taken as a searcher's: for a result, or for
 // proof that a request was not started, after which it is sent again. Its connection
 // must not carry another call.
@@ -64,21 +67,11 @@
 			is.True(errors.As(err, &failed))
 			is.Equal(failed.Failure, model.FailureLost)
 			is.True(!failed.NotStarted)
-			expectClosed(t, s)
+			is.True(s.WaitClosed(closeTimeout)) // the connection of the malformed reply is closed
 		})
 	}
 }
 
-// expectClosed checks that the host closes a connection to the server.
-func expectClosed(t *testing.T, s *canned.Server) {
-	t.Helper()
-	select {
-	case <-s.Closed():
-	case <-time.After(10 * time.Second):
-		t.Error("the connection of the malformed reply stays open")
-	}
-}
-
 // Guards against a connection that is kept for calls after a malformed reply to the
 // health check that opened it.
 func TestMalformedHealthReplyEndsConnection(t *testing.T) {
@@ -90,7 +83,7 @@
 	p := NewPool()
 	defer func() { is.NoErr(p.Close()) }()
 	p.ensureClient(model.Searcher{ID: "s", Address: model.Address(s.Address()), ConnectionCap: 2}, 2)
-	expectClosed(t, s)
+	is.True(s.WaitClosed(closeTimeout)) // the connection of the malformed reply is closed
 }
 
 // Guards against the loss of a search whose reply has sound interim replies and
--- a/internal/link/answer_test.go
+++ b/internal/link/answer_test.go
@@ -120,7 +120,7 @@
 		_, err := p.Forward(t.Context(), model.Address(s.Address()), &peer.ForwardRequest{Request: []byte{1}, TimeoutMs: 5000})
 		is.True(err != nil)
 		is.True(!errors.Is(err, ErrNotSent))
-		<-s.Closed()
+		is.True(s.WaitClosed(10 * time.Second)) // the connection of the malformed answer is closed
 		is.NoErr(s.Close())
 	}
 }
--- a/internal/store/malformed_test.go
+++ b/internal/store/malformed_test.go
@@ -11,6 +11,9 @@
 	"toucanpulley.example/stand/canned"
 )
 
+// closeTimeout bounds the wait for a connection to be closed.
+const closeTimeout = 10 * time.Second
+
 // Guards against a malformed response that is taken for the platform's: for an object
 // that does not exist, a conflict, or a write that was accepted. Its connection must not
 // carry another call.
@@ -35,20 +38,13 @@
 			is.NoErr(s.Run(t.Context()))
 			defer func() { is.NoErr(s.Close()) }()
 			c := NewClient("http://" + s.Address())
-			expectClosed := func() {
-				select {
-				case <-s.Closed():
-				case <-time.After(10 * time.Second):
-					t.Error("the connection of the malformed response stays open")
-				}
-			}
 			_, err := c.Get(t.Context(), "o")
 			is.True(errors.Is(err, ErrUnavailable))
 			is.True(!errors.Is(err, ErrNotFound))
-			expectClosed()
+			is.True(s.WaitClosed(closeTimeout)) // the connection of the malformed response is closed
 			_, err = c.Put(t.Context(), "o", []byte("v"), 1)
 			is.True(errors.Is(err, ErrOutcomeUnknown))
-			expectClosed()
+			is.True(s.WaitClosed(closeTimeout)) // the connection of the malformed response is closed
 		})
 	}
 }
--- a/pkg/client/malformed_test.go
+++ b/pkg/client/malformed_test.go
@@ -44,11 +44,7 @@
 			f := classifyError(err, model.Address(s.Address()), false)
 			is.Equal(f.reason, ReasonLost)
 			is.True(!f.notRun)
-			select {
-			case <-s.Closed():
-			case <-time.After(10 * time.Second):
-				t.Error("the connection of the malformed answer stays open")
-			}
+			is.True(s.WaitClosed(10 * time.Second)) // the connection of the malformed answer is closed
 			_, err = c.Addresses(t.Context(), "svc")
 			var failed *Error
 			is.True(errors.As(err, &failed))
--- a/stand/canned/canned.go
+++ b/stand/canned/canned.go
@@ -8,7 +8,7 @@
 //	err := s.Run(ctx)
 //	defer s.Close()
 //	// send a request to s.Address()
-//	<-s.Closed()
+//	closed := s.WaitClosed(10 * time.Second)
 package canned
 
 import (
@@ -19,9 +19,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
-// maxClosed is the number of closed connections that Closed reports if nobody receives.
+// maxClosed is the number of closed connections that are kept for WaitClosed.
 const maxClosed = 100
 
 // Server serves connections until its Close. The exported field must be set before Run.
@@ -67,9 +68,18 @@
 // Address returns the host and port of the server.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Closed returns a channel that receives a value for each connection that the client
-// has closed.
-func (s *Server) Closed() <-chan struct{} { return s.closed }
+// WaitClosed waits until the client has closed a connection that no earlier call has
+// reported. It returns false after the timeout.
+func (s *Server) WaitClosed(timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-s.closed:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
 
 // Close closes the listener and all connections and waits for their goroutines.
 func (s *Server) Close() error {
