--- a/internal/heads/transport.go
+++ b/internal/heads/transport.go
@@ -86,8 +86,8 @@
 // Error implements error.
 func (e streamError) Error() string { return fmt.Sprintf("stream error %d: %v", e.Code, e.Cause) }
 
-// isProtocolError reports whether an HTTP/2 stream ended because of a malformed message,
-// for which net/http keeps the connection.
+// isProtocolError reports whether an HTTP/2 stream was reset with PROTOCOL_ERROR, as
+// net/http does after a malformed message. It keeps the connection.
 func isProtocolError(err error) bool {
 	const protocolError = 0x1 // RFC 9113, section 7
 	var e streamError
