feed: log the age of the data where a host learns of changes

The log told when a host applied a change, but neither how old its data was by then nor whether the store counted as unavailable, so that a watch without an answer and a removal that is held back looked alike.

--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -32,7 +32,7 @@
 		w.removedSince = asOf
 	}
 	w.fleetRevision = max(w.fleetRevision, asOf)
-	w.logInfo("searcher list replaced", "count", len(list), "asOf", asOf, "source", source)
+	w.logInfo("searcher list replaced", "count", len(list), "asOf", asOf, "source", source, "ageMs", w.ageMillis())
 }
 
 func (w *World) applyFleetChanged(e FleetChanged) {
@@ -65,7 +65,7 @@
 		}
 	}
 	w.logInfo("searcher changes received from peer", "peer", e.Peer.ID, "since", e.Catalog.Since, "asOf", f.Revision,
-		"changed", len(f.Registrations), "removed", len(f.Removed), "equal", w.fleetHash == f.Hash)
+		"changed", len(f.Registrations), "removed", len(f.Removed), "equal", w.fleetHash == f.Hash, "ageMs", w.ageMillis())
 	if w.fleetHash == f.Hash {
 		w.fleetRevision = f.Revision
 		return
@@ -114,7 +114,8 @@
 		if w.storeDown {
 			until = w.Now().Add(registrationGrace)
 		}
-		w.logInfo("entry missing after an outage", "searcher", w.entries.Key(id), "keptMs", until.Sub(w.Now()).Milliseconds())
+		w.logInfo("entry missing after an outage", "searcher", w.entries.Key(id), "keptMs", until.Sub(w.Now()).Milliseconds(),
+			"storeDown", w.storeDown, "revision", revision)
 		e.expiresAt = until
 		w.setEntry(id, e)
 		return
--- a/internal/feed/world.go
+++ b/internal/feed/world.go
@@ -197,6 +197,14 @@
 	return d
 }
 
+// ageMillis returns the age of the data for log lines, or -1 if it is unknown.
+func (w *World) ageMillis() int64 {
+	if w.currentAt.IsZero() {
+		return -1
+	}
+	return w.Now().Sub(w.currentAt).Milliseconds()
+}
+
 // StoreUnavailable reports whether calls to the store fail.
 func (w *World) StoreUnavailable() bool { return w.storeDown }
 
@@ -249,6 +257,9 @@
 		case w.Now().Before(t.nextCallAt):
 			w.WakeAt(t.nextCallAt)
 		case !t.known || name == Hosts:
+			if t.failures == 0 && !w.role.Watch && name != Hosts && !w.currentAt.IsZero() {
+				w.logInfo("no peer has current data; reading the platform", "topic", name.String(), "ageMs", w.ageMillis())
+			}
 			t = t.withCall()
 			w.topic.Set(id, t)
 			w.Emit(Read{Topic: name, CallID: t.callID, StaleAllowed: name == Hosts && w.role.Joined})
