--- /dev/null
+++ b/internal/feed/stale_test.go
@@ -0,0 +1,95 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanpulley.example/internal/model"
+)
+
+// changeBound is the time within which a change that the store has confirmed must be in
+// force on hosts that can reach the store (drain-ms of the deployments with followers).
+const changeBound = 5 * time.Second
+
+// newFollower returns a host that holds the data of a watching host and relies on its
+// digests.
+func newFollower(t *testing.T, watching *host) *host {
+	h := newHost(t)
+	h.FailureDomain = "d"
+	h.loadBoth(1, "a", "b")
+	h.tick(RoleAssigned{Joined: true})
+	h.result(Configuration, ConfigurationRead{AsOf: 10})
+	h.result(Searchers, FleetChanged{AsOf: 10})
+	h.tick(DigestReceived{Peer: model.Host{ID: "w", FailureDomain: "d"}, Digest: watching.Digest(watching.now)})
+	return h
+}
+
+// storeCalls returns the number of calls to the store.
+func (h *host) storeCalls() int {
+	n := 0
+	for _, c := range h.commands {
+		switch c.(type) {
+		case Read, Watch:
+			n++
+		}
+	}
+	return n
+}
+
+// TestSilentWatchIsNotCurrent guards against hosts that trust a watch whose path to the
+// store has fallen silent: the watching host told its peers that its data was current
+// until the watch timed out, and they sent requests to searchers that had left.
+func TestSilentWatchIsNotCurrent(t *testing.T) {
+	is := is.New(t)
+	w := newHost(t)
+	w.FailureDomain = "d"
+	w.loadBoth(1, "a", "b")
+	f := newFollower(t, w)
+	silentSince, before := f.now, f.storeCalls()
+	for f.now.Sub(silentSince) < changeBound && f.storeCalls() == before {
+		w.advance(100 * time.Millisecond)
+		f.advance(100 * time.Millisecond)
+		f.tick(DigestReceived{Peer: model.Host{ID: "w", FailureDomain: "d"}, Digest: w.Digest(w.now)})
+	}
+	is.True(f.storeCalls() > before)                       // the follower asks the store itself
+	is.True(w.Digest(w.now).Age >= f.now.Sub(silentSince)) // the watching host claims no newer data
+}
+
+// TestPeerRemovalIsNotHeldBack guards against a host that keeps a searcher whose removal
+// its peer has read from the store, because an earlier call of its own to the store
+// failed. A host that relies on its peers makes no further call that could succeed.
+func TestPeerRemovalIsNotHeldBack(t *testing.T) {
+	is := is.New(t)
+	w := newHost(t)
+	w.FailureDomain = "d"
+	w.loadBoth(1, "a", "b")
+	f := newFollower(t, w)
+	f.advance(maxFollowerAge)
+	f.result(Searchers, Failed{StartedAt: f.now, Cause: "status 503"})
+	is.True(f.StoreUnavailable())
+	f.advance(time.Second)
+	f.tick(Pulled{Peer: model.Host{ID: "w"}, Catalog: Catalog{Since: 10, Fleet: model.Fleet{
+		Revision: 12, Hash: 0, Removed: []model.Removal{{Searcher: "b", Revision: 12}},
+	}}})
+	is.Equal(f.searchers(), map[model.SearcherID]bool{"a": true})
+}
+
+// TestPeersEndAnOutage guards against a host that counts the store as unavailable for as
+// long as its peers keep it current, and holds back removals all that time.
+func TestPeersEndAnOutage(t *testing.T) {
+	is := is.New(t)
+	w := newHost(t)
+	w.FailureDomain = "d"
+	w.loadBoth(1, "a", "b")
+	f := newFollower(t, w)
+	f.advance(maxFollowerAge)
+	f.result(Searchers, Failed{StartedAt: f.now, Cause: "status 503"})
+	w.advance(f.now.Sub(w.now) + time.Second)
+	w.result(Configuration, ConfigurationRead{AsOf: 11})
+	w.result(Searchers, FleetChanged{AsOf: 11})
+	f.advance(time.Second)
+	f.tick(DigestReceived{Peer: model.Host{ID: "w", FailureDomain: "d"}, Digest: w.Digest(w.now)})
+	is.True(!f.StoreUnavailable())
+}
