feed: count data as current as of the last answer of the store

Cause: a watch that was under way counted as proof that the data was current. On a path without answers it did so until its time limit of 3.8 s, and its host's digests kept all others from reading the store for as long; they then let their data become another 3 s old.

The age of the data is now that of the store's last answer to the older topic: the end of a watch, the start of a read. Watches on which others rely wait for a fifth of the bound within which changes must be in force, and other hosts read the store at half of it; both follow the deployment's bound, which the settings now carry.

--- a/internal/conf/relay.go
+++ b/internal/conf/relay.go
@@ -45,6 +45,9 @@
 	RetryShare  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// ChangeBound is the time within which a change in the platform's store must be in
+	// force on all hosts that reach it.
+	ChangeBound time.Duration
 }
 
 // Limits and defaults of relay settings, in the units of their keys.
@@ -56,6 +59,9 @@
 	defaultGraceSeconds       = 6
 	maxRetrySlackCalls        = 1_000_000
 	defaultRetryWindowSeconds = 10
+	defaultChangeBoundMs      = 5000
+	minChangeBoundMs          = 100
+	maxChangeBoundMs          = 600_000
 	defaultRetryShare         = 0.2
 	defaultRetrySlackCalls    = 10
 	defaultMemoryMB           = 256
@@ -104,6 +110,7 @@
 		RetrySlack:  r.number("retrySlack", defaultRetrySlackCalls, maxRetrySlackCalls),
 		RetryWindow: r.seconds("retryWindowSeconds", defaultRetryWindowSeconds),
 	}
+	s.ChangeBound = min(r.changeBound("leavingBoundMs"), r.changeBound("configurationBoundMs"))
 	r.checkDistinctAddresses()
 	for _, a := range r.addresses("seeds", maxSeeds) {
 		s.Seeds = append(s.Seeds, model.Address(a))
@@ -131,3 +138,13 @@
 	}
 	return time.Duration(n * float64(time.Second))
 }
+
+// changeBound returns the value of an optional key that holds the time within which a
+// change must be in force, in milliseconds.
+func (r *reader) changeBound(key string) time.Duration {
+	n := float64(defaultChangeBoundMs)
+	if r.decodeKey(key, false, &n, "a number of milliseconds") && (n < minChangeBoundMs || n > maxChangeBoundMs) {
+		r.addProblem(key, "%g is out of range; allowed: %d to %d milliseconds", n, minChangeBoundMs, maxChangeBoundMs)
+	}
+	return time.Duration(n * float64(time.Millisecond))
+}
--- a/internal/conf/relay_test.go
+++ b/internal/conf/relay_test.go
@@ -22,6 +22,7 @@
 		{"no address", `10.0.0.1:3`, `nowhere`, "directoryAddress"},
 		{"address twice", `10.0.0.1:3`, `10.0.0.1:2`, "directoryAddress"},
 		{"share above one", `0.4`, `1.5`, "cpuShare"},
+		{"short bound", `"graceSeconds":2.5`, `"leavingBoundMs":50`, "leavingBoundMs"},
 		{"zero duration", `"graceSeconds":2.5`, `"retryWindowSeconds":0`, "retryWindowSeconds"},
 		{"wrong type", `"linkMbps":1000`, `"linkMbps":"fast"`, "linkMbps"},
 		{"unknown key", `"cpuShare"`, `"cpuShares"`, "cpuShares"},
--- a/internal/ctrl/relay.go
+++ b/internal/ctrl/relay.go
@@ -145,7 +145,8 @@
 			lowerRanked++
 		}
 	}
-	role.Watch = lowerRanked < watchersPerDomain || domainSize <= maxHostsAllWatch
+	role.Followed = domainSize > maxHostsAllWatch
+	role.Watch = lowerRanked < watchersPerDomain || !role.Followed
 	if !role.Joined || !w.settled && !w.role.Watch {
 		// Few members are known yet, so that most hosts would count as first.
 		role.Watch = w.Seed
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -26,7 +26,7 @@
 // return an event with the result, or feed.Failed on an error.
 type Source struct {
 	Read  func(context.Context, feed.Read) feed.Event
-	Watch func(ctx context.Context, t feed.Topic, after uint64) feed.Event
+	Watch func(context.Context, feed.Watch) feed.Event
 	// Announce publishes this host's address, so that hosts that start later can
 	// join through it.
 	Announce func(context.Context, model.Host) error
@@ -42,6 +42,8 @@
 	IsSeed bool
 	// RetryBudget limits the retries of this deployment.
 	RetryBudget relay.RetryBudget
+	// ChangeBound is the time within which a change in the store must be in force.
+	ChangeBound time.Duration
 	// ReplyMemory bounds the bytes of unfinished replies of searchers.
 	ReplyMemory int
 	Source      Source
@@ -65,7 +67,7 @@
 // NewRelay returns a daemon for a host.
 func NewRelay(self model.Host) *Relay {
 	r := &Relay{
-		Self: self, ReplyMemory: conns.DefaultReplyMemory, Log: hclog.NewNullLogger(), Meter: meter.New(), started: make(chan struct{}),
+		Self: self, ChangeBound: feed.DefaultChangeBound, ReplyMemory: conns.DefaultReplyMemory, Log: hclog.NewNullLogger(), Meter: meter.New(), started: make(chan struct{}),
 		statusQuery: newStatusQuery[ctrl.Status]("read control status"),
 	}
 	r.view.Store(&relay.View{HostCount: 1})
@@ -113,6 +115,7 @@
 	r.pool.OnResult = func(e relay.Event) { r.lane.loop.Send(e) }
 	control := ctrl.NewRelay(r.Self, uint64(time.Now().UnixMilli()))
 	control.Member.Seeds, control.Seed = r.Seeds, r.IsSeed
+	control.Feed.ChangeBound = r.ChangeBound
 	control.Feed.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.control = tick.NewLoop[ctrl.Event, ctrl.Command](control, r.execute)
 	r.peers = newPeerTransport(r.Self.ID, r.Meter, r.Log)
@@ -163,7 +166,7 @@
 	case feed.Watch:
 		r.Meter.Count("platformCall", "watch")
 		r.goroutines.Go(func() {
-			r.sendFeedEvent(feed.Result{Topic: c.Topic, CallID: c.CallID, Event: r.Source.Watch(r.ctx, c.Topic, c.After)})
+			r.sendFeedEvent(feed.Result{Topic: c.Topic, CallID: c.CallID, Event: r.Source.Watch(r.ctx, c)})
 		})
 	case feed.Announce:
 		r.Meter.Count("platformCall", "announce")
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -129,9 +129,9 @@
 // PullFailed is a pull that returned no catalog.
 type PullFailed struct{ Peer model.HostID }
 
-// RoleAssigned reports whether this host watches the store itself and whether it
-// knows its peers.
-type RoleAssigned struct{ Watch, Joined bool }
+// RoleAssigned reports whether this host watches the store itself, whether it knows its
+// peers, and whether some of them do not watch and rely on those that do.
+type RoleAssigned struct{ Watch, Joined, Followed bool }
 
 // AnnounceDone is the result of Announce.
 type AnnounceDone struct{ Failed bool }
@@ -163,11 +163,12 @@
 	StaleAllowed bool
 }
 
-// Watch waits for changes to a topic after a revision.
+// Watch waits for changes to a topic after a revision, for at most Wait.
 type Watch struct {
 	Topic  Topic
 	CallID uint64
 	After  uint64
+	Wait   time.Duration
 }
 
 // PullFrom requests the catalog of a peer. Version is the configuration version
--- a/internal/feed/receive.go
+++ b/internal/feed/receive.go
@@ -54,7 +54,7 @@
 // recordSuccess records a successful call to the store for a topic.
 func (w *World) recordSuccess(t Topic, asOf uint64, next time.Time) {
 	id, cell := w.topicRow(t)
-	w.topic.Set(id, cell.withResult(asOf, next))
+	w.topic.Set(id, cell.withResult(asOf, w.Now(), next))
 	w.finishFollowerRead()
 	if !w.storeDown {
 		return
@@ -78,7 +78,7 @@
 			return
 		}
 	}
-	w.currentAt = w.Now()
+	w.updateCurrentAt()
 	w.rereadAll()
 }
 
@@ -115,7 +115,7 @@
 	if w.role.Joined {
 		delay = hostListInterval
 	}
-	w.topic.Set(id, cell.withResult(0, w.Now().Add(delay)))
+	w.topic.Set(id, cell.withResult(0, w.Now(), w.Now().Add(delay)))
 	w.Emit(AddContacts(e))
 }
 
--- a/internal/feed/stale_test.go
+++ b/internal/feed/stale_test.go
@@ -66,7 +66,7 @@
 	w.FailureDomain = "d"
 	w.loadBoth(1, "a", "b")
 	f := newFollower(t, w)
-	f.advance(maxFollowerAge)
+	f.advance(f.maxAge())
 	f.result(Searchers, Failed{StartedAt: f.now, Cause: "status 503"})
 	is.True(f.StoreUnavailable())
 	f.advance(time.Second)
@@ -84,7 +84,7 @@
 	w.FailureDomain = "d"
 	w.loadBoth(1, "a", "b")
 	f := newFollower(t, w)
-	f.advance(maxFollowerAge)
+	f.advance(f.maxAge())
 	f.result(Searchers, Failed{StartedAt: f.now, Cause: "status 503"})
 	w.advance(f.now.Sub(w.now) + time.Second)
 	w.result(Configuration, ConfigurationRead{AsOf: 11})
--- a/internal/feed/world.go
+++ b/internal/feed/world.go
@@ -43,10 +43,19 @@
 	// a host without peers waits before it reads the list of entry hosts.
 	initialReadDelay = 700 * time.Millisecond
 	hostListDelay    = 1500 * time.Millisecond
-	// maxFollowerAge is the data age at which a host that does not watch the store
-	// reads it. Where there are such hosts, changes must take effect within 5 s; a
-	// read takes about 10 ms, or 240 ms from a slow store.
-	maxFollowerAge = 3 * time.Second
+	// DefaultChangeBound is the default of World.ChangeBound.
+	DefaultChangeBound = 5 * time.Second
+	// maxAgeShare is the data age at which a host that does not watch the store reads
+	// it, as a share of the bound. The rest is for a read that is lost and repeated.
+	maxAgeShare = 0.5
+	// followedWatchShare is how long a watch waits whose host others rely on, as a share
+	// of the bound. Their data is as old as its last answer, and must reach them before
+	// maxAgeShare.
+	followedWatchShare = 0.2
+	// watchWait is how long a watch waits whose host no other relies on. With a longer
+	// one, a watch on a dead connection could outlast the 4 s after which a host counts
+	// as stable again.
+	watchWait = 3 * time.Second
 	// digestPushInterval is the push interval of a host that watches the store.
 	// With three peers per push and six such hosts, most hosts receive a push
 	// every two seconds.
@@ -73,15 +82,25 @@
 	failures int
 	// nextCallAt is the earliest start of the next call.
 	nextCallAt time.Time
+	// startedAt is the start of the latest call. currentAt is when the store last showed
+	// that the data was current; zero if never.
+	startedAt time.Time
+	currentAt time.Time
 }
 
-func (t topic) withCall() topic {
-	t.inFlight = true
+func (t topic) withCall(now time.Time) topic {
+	t.inFlight, t.startedAt = true, now
 	t.callID++
 	return t
 }
 
-func (t topic) withResult(asOf uint64, next time.Time) topic {
+// withResult returns the topic after an answer. A read shows the data as of its start; a
+// watch, which is held open until there is a change, as of its end.
+func (t topic) withResult(asOf uint64, now, next time.Time) topic {
+	t.currentAt = now
+	if !t.known {
+		t.currentAt = t.startedAt
+	}
 	t.inFlight, t.known, t.failures, t.nextCallAt = false, true, 0, next
 	t.asOf = max(t.asOf, asOf)
 	return t
@@ -132,6 +151,10 @@
 	Random *rand.Rand
 	// FailureDomain is that of this host; set before the first tick.
 	FailureDomain model.FailureDomain
+	// ChangeBound is the time within which a change that the store has confirmed must be
+	// in force on a host that can reach the store. It defaults to DefaultChangeBound; set
+	// before the first tick.
+	ChangeBound time.Duration
 
 	topics *table.Table[Topic]
 	topic  *table.Column[topic]
@@ -175,7 +198,7 @@
 // NewWorld returns an empty world.
 func NewWorld() *World {
 	w := &World{
-		Random: rand.New(rand.NewPCG(1, 2)),
+		Random: rand.New(rand.NewPCG(1, 2)), ChangeBound: DefaultChangeBound,
 		topics: table.New[Topic](), entries: table.New[model.SearcherID](), peersAhead: table.New[model.HostID](),
 	}
 	w.topic = table.NewColumn[topic](w.topics)
@@ -260,19 +283,19 @@
 			if t.failures == 0 && !w.role.Watch && name != Hosts && !w.currentAt.IsZero() {
 				w.logInfo("no peer has current data; reading the platform", "topic", name.String(), "ageMs", w.ageMillis())
 			}
-			t = t.withCall()
+			t = t.withCall(w.Now())
 			w.topic.Set(id, t)
 			w.Emit(Read{Topic: name, CallID: t.callID, StaleAllowed: name == Hosts && w.role.Joined})
 		default:
-			t = t.withCall()
+			t = t.withCall(w.Now())
 			w.topic.Set(id, t)
-			w.Emit(Watch{Topic: name, CallID: t.callID, After: t.asOf})
+			w.Emit(Watch{Topic: name, CallID: t.callID, After: t.asOf, Wait: w.watchWait()})
 		}
 	}
 }
 
 // shouldCall reports whether to call the store for a topic. If peers watch the
-// store, this host calls it only when its data is older than maxFollowerAge.
+// store, this host calls it only when its data has reached maxAge.
 func (w *World) shouldCall(name Topic) bool {
 	due := w.StartTime().Add(initialReadDelay)
 	switch {
@@ -286,7 +309,7 @@
 	case w.role.Watch:
 		return true
 	case !w.currentAt.IsZero():
-		due = w.currentAt.Add(maxFollowerAge)
+		due = w.currentAt.Add(w.maxAge())
 	}
 	if w.Now().Before(due) {
 		w.WakeAt(due)
@@ -295,16 +318,33 @@
 	return true
 }
 
-// updateCurrentAt marks the data as current if this host is watching both
-// topics. A watch that no longer receives changes ends by its timeout.
+// maxAge returns the data age at which a host that does not watch the store reads it.
+func (w *World) maxAge() time.Duration {
+	return time.Duration(float64(w.ChangeBound) * maxAgeShare)
+}
+
+// watchWait returns how long a watch waits for changes.
+func (w *World) watchWait() time.Duration {
+	if !w.role.Followed {
+		return watchWait
+	}
+	return time.Duration(float64(w.ChangeBound) * followedWatchShare)
+}
+
+// updateCurrentAt derives the age of the data from the last answers of the store to both
+// topics. A watch that is under way proves nothing: its path may have fallen silent.
 func (w *World) updateCurrentAt() {
-	for _, k := range []Topic{Configuration, Searchers} {
-		if _, t := w.topicRow(k); !t.known || t.failures > 0 {
-			return
-		}
+	_, configuration := w.topicRow(Configuration)
+	_, searchers := w.topicRow(Searchers)
+	if !configuration.known || !searchers.known {
+		return
+	}
+	at := configuration.currentAt
+	if searchers.currentAt.Before(at) {
+		at = searchers.currentAt
 	}
-	if w.role.Watch && !w.storeDown {
-		w.currentAt = w.Now()
+	if at.After(w.currentAt) {
+		w.currentAt = at
 	}
 }
 
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -216,7 +216,7 @@
 		h.advance(time.Second)
 	}
 	is.Equal(calls(), before)
-	h.advance(maxFollowerAge)
+	h.advance(h.maxAge())
 	is.Equal(calls(), before+2) // the configuration and the searchers
 }
 
