feed: hold back no removal that a peer has read from the store

Cause: after a failed call a host keeps missing entries for 2.3 s, so that searchers can register again after an outage. A host that relies on its peers makes no call while they are current, so that the store counted as unavailable for as long as that, and each removal was held back, also those that a peer had already granted the time.

A removal in a peer's changes is now applied at once, and an outage ends with a peer's digest that shows an answer of the store after the last failure. That digest can be believed since it names the age of the store's last answer.

--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -53,7 +53,8 @@
 
 // applyPeerChanges applies the changes after the revision that this host
 // requested. If the resulting hash differs from the peer's, it pulls the full
-// list.
+// list. A removal needs no grace period: the peer has granted one if the store had
+// an outage.
 func (w *World) applyPeerChanges(e Pulled) {
 	f := e.Catalog.Fleet
 	for _, r := range f.Registrations {
@@ -61,7 +62,8 @@
 	}
 	for _, r := range f.Removed {
 		if id, ok := w.entries.Find(r.Searcher); ok && w.entry.Get(id).registration.Revision <= r.Revision {
-			w.unregister(id, r.Revision)
+			w.removeEntry(id, r.Revision)
+			w.dirty = true
 		}
 	}
 	w.logInfo("searcher changes received from peer", "peer", e.Peer.ID, "since", e.Catalog.Since, "asOf", f.Revision,
--- a/internal/feed/receive.go
+++ b/internal/feed/receive.go
@@ -56,15 +56,20 @@
 	id, cell := w.topicRow(t)
 	w.topic.Set(id, cell.withResult(asOf, w.Now(), next))
 	w.finishFollowerRead()
+	w.endOutage(w.Now(), "call")
+}
+
+// endOutage records that the store has answered at the given time.
+func (w *World) endOutage(at time.Time, source string) {
 	if !w.storeDown {
 		return
 	}
 	w.storeDown = false
-	downFor := w.Now().Sub(w.storeDownSince)
+	downFor := at.Sub(w.storeDownSince)
 	if downFor >= minOutage {
-		w.recoveredAt = w.Now()
+		w.recoveredAt = at
 	}
-	w.logInfo("platform regained", "topic", t.String(), "awayMs", downFor.Milliseconds(), "asOf", asOf)
+	w.logInfo("platform regained", "source", source, "awayMs", downFor.Milliseconds())
 }
 
 // finishFollowerRead marks the data as current once a host that does not watch
@@ -133,6 +138,7 @@
 		next = w.Now().Add(hostListRetryDelay)
 	}
 	w.topic.Set(id, cell.withFailure(next))
+	w.storeFailedAt = w.Now()
 	if !w.storeDown {
 		w.storeDown, w.storeDownSince = true, e.StartedAt
 		w.logWarning("platform lost", "topic", t.String(), "cause", e.Cause, "callMs", w.Now().Sub(e.StartedAt).Milliseconds())
@@ -142,6 +148,7 @@
 // receiveDigests is the system that records which peers are ahead of this host.
 func (w *World) receiveDigests() {
 	tick.Each(w.Inbox(), func(e DigestReceived) {
+		w.endOutageByPeer(e.Digest)
 		if !w.behind(e.Digest) {
 			w.updateCurrentAtFromPeer(e.Digest)
 			if id, ok := w.peersAhead.Find(e.Peer.ID); ok {
@@ -171,6 +178,15 @@
 	}
 }
 
+// endOutageByPeer ends an outage once a peer has had an answer of the store after the
+// last failure of this host. A host that does not watch may make no call of its own
+// that could end it.
+func (w *World) endOutageByPeer(d Digest) {
+	if at := w.Now().Add(-d.Age); d.Age != AgeUnknown && !w.role.Watch && at.After(w.storeFailedAt) {
+		w.endOutage(at, "peer")
+	}
+}
+
 // updateCurrentAtFromPeer takes over the age of a peer's data if it equals the
 // data of this host.
 func (w *World) updateCurrentAtFromPeer(d Digest) {
--- a/internal/feed/world.go
+++ b/internal/feed/world.go
@@ -172,10 +172,11 @@
 	// dirty is set if the catalog changed in this tick.
 	dirty bool
 
-	// storeDown is set while store calls fail, since storeDownSince. recoveredAt
-	// is the end of the latest outage.
+	// storeDown is set while store calls fail, since storeDownSince; the last one
+	// failed at storeFailedAt. recoveredAt is the end of the latest outage.
 	storeDown      bool
 	storeDownSince time.Time
+	storeFailedAt  time.Time
 	recoveredAt    time.Time
 
 	// role holds whether this host watches the store.
