feed: keep a peer's newer searcher list against an older read

A read of the store that began before a peer's newer list arrived replaced that list when it ended, and a watch that was behind the peer did so for single entries: a searcher that the peer had reported as leaving was ready again, under the revision of the newer list, so that no digest showed the difference.

A list is ignored if its revision is below the one that this host has learned since the read began, and a watch's event if the entry held is newer. TestOlderListKeepsLeavingSearcher failed before; TestLaterReadReplacesList passed.

--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -12,7 +12,12 @@
 const maxRemoved = 512
 
 func (w *World) applyFleetRead(e FleetRead) {
+	_, t := w.topicRow(Searchers)
 	w.recordSuccess(Searchers, e.AsOf, w.Now())
+	if e.AsOf < w.fleetRevision && t.startedAt.Before(w.revisedAt) {
+		w.logInfo("ignored a searcher list that is older than a peer's", "asOf", e.AsOf, "held", w.fleetRevision)
+		return
+	}
 	w.replaceFleet(e.Registrations, e.AsOf, "platform")
 }
 
@@ -31,7 +36,7 @@
 	if w.removedSince == 0 {
 		w.removedSince = asOf
 	}
-	w.fleetRevision = max(w.fleetRevision, asOf)
+	w.revise(asOf)
 	w.logInfo("searcher list replaced", "count", len(list), "asOf", asOf, "source", source, "ageMs", w.ageMillis())
 }
 
@@ -39,18 +44,30 @@
 	next := w.Now()
 	if len(e.Changes) > 0 {
 		next = w.Now().Add(watchDelay)
-		w.fleetRevision = max(w.fleetRevision, e.AsOf)
+		w.revise(e.AsOf)
 	}
 	w.recordSuccess(Searchers, e.AsOf, next)
 	for _, c := range e.Changes {
-		if !c.Removed {
+		id, held := w.entries.Find(c.Registration.Searcher.ID)
+		revision := w.entry.Get(id).registration.Revision
+		switch {
+		case !c.Removed && held && c.Registration.Revision < revision, c.Removed && held && e.AsOf < revision:
+			// A peer's list was ahead of this watch.
+		case !c.Removed:
 			w.register(c.Registration)
-		} else if id, ok := w.entries.Find(c.Registration.Searcher.ID); ok {
+		case held:
 			w.unregister(id, e.AsOf)
 		}
 	}
 }
 
+// revise raises the revision of the searcher list.
+func (w *World) revise(revision uint64) {
+	if revision > w.fleetRevision {
+		w.fleetRevision, w.revisedAt = revision, w.Now()
+	}
+}
+
 // applyPeerChanges applies the changes after the revision that this host
 // requested. If the resulting hash differs from the peer's, it pulls the full
 // list. A removal needs no grace period: the peer has granted one if the store had
@@ -69,7 +86,7 @@
 	w.logInfo("searcher changes received from peer", "peer", e.Peer.ID, "since", e.Catalog.Since, "asOf", f.Revision,
 		"changed", len(f.Registrations), "removed", len(f.Removed), "equal", w.fleetHash == f.Hash, "ageMs", w.ageMillis())
 	if w.fleetHash == f.Hash {
-		w.fleetRevision = f.Revision
+		w.revise(f.Revision)
 		return
 	}
 	w.pulling = true
--- a/internal/feed/stale_test.go
+++ b/internal/feed/stale_test.go
@@ -93,3 +93,53 @@
 	f.tick(DigestReceived{Peer: model.Host{ID: "w", FailureDomain: "d"}, Digest: w.Digest(w.now)})
 	is.True(!f.StoreUnavailable())
 }
+
+// leaving returns a registration of a searcher at a revision of the store.
+func leaving(id model.SearcherID, left bool, revision uint64) model.Registration {
+	r := registrations(id)[0].WithLeaving(left)
+	r.Revision = revision
+	return r
+}
+
+// leaves reports whether a host holds a searcher as leaving.
+func (h *host) leaves(id model.SearcherID) bool {
+	for _, r := range h.adopted().Fleet.Registrations {
+		if r.Searcher.ID == id {
+			return r.Searcher.Leaving
+		}
+	}
+	return false
+}
+
+// TestOlderListKeepsLeavingSearcher guards against a read of the store that was under way
+// while a peer's newer list arrived, and that made a leaving searcher ready again.
+func TestOlderListKeepsLeavingSearcher(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t)
+	h.loadBoth(1, "a", "b")
+	h.tick(Resumed{}) // starts a read of the searchers
+	h.advance(10 * time.Millisecond)
+	fleet := model.Fleet{Revision: 20, Registrations: []model.Registration{leaving("a", true, 15), leaving("b", false, 5)}}
+	h.tick(Pulled{Peer: model.Host{ID: "p"}, Catalog: Catalog{Fleet: fleet}})
+	is.True(h.leaves("a"))
+	h.result(Searchers, FleetRead{Registrations: []model.Registration{leaving("a", false, 5), leaving("b", false, 5)}, AsOf: 12})
+	is.True(h.leaves("a"))
+	h.result(Searchers, FleetChanged{Changes: []Change{{Registration: leaving("a", false, 13)}}, AsOf: 14})
+	is.True(h.leaves("a")) // nor does a watch that is behind the peer
+	h.advance(watchDelay)
+	h.result(Searchers, FleetChanged{Changes: []Change{{Registration: leaving("a", false, 30)}}, AsOf: 31})
+	is.True(!h.leaves("a")) // a later change counts
+}
+
+// TestLaterReadReplacesList guards against a host that ignores the store's list because
+// of a revision that it holds from elsewhere.
+func TestLaterReadReplacesList(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t)
+	h.loadBoth(1, "a", "b")
+	h.tick(Pulled{Peer: model.Host{ID: "p"}, Catalog: Catalog{Fleet: model.Fleet{Revision: 20, Registrations: []model.Registration{leaving("a", false, 15)}}}})
+	h.advance(10 * time.Millisecond)
+	h.tick(Resumed{})
+	h.result(Searchers, FleetRead{Registrations: registrations("c"), AsOf: 12})
+	is.Equal(h.searchers(), map[model.SearcherID]bool{"c": true})
+}
--- a/internal/feed/world.go
+++ b/internal/feed/world.go
@@ -162,9 +162,11 @@
 	configuration model.Configuration
 	entries       *table.Table[model.SearcherID]
 	entry         *table.Column[entry]
-	// fleetRevision is the revision of the latest searcher change. fleetHash is
-	// the sum of the hashes of all present entries, independent of their order.
+	// fleetRevision is the revision of the latest searcher change, which this host
+	// learned at revisedAt. fleetHash is the sum of the hashes of all present entries,
+	// independent of their order.
 	fleetRevision uint64
+	revisedAt     time.Time
 	fleetHash     uint64
 	// removed is the log of removals, complete after revision removedSince.
 	removed      []model.Removal
