feed: order the writes of a searcher's entry by their sequence

A store may carry out a searcher's earlier write seconds after a later one that it has confirmed.

Cause: the sequence that counts the writes of one start was read and dropped, so that the revision of the store alone decided. Entries carry it now, also between hosts, and one that was written before the entry held, or before the one held last, is ignored and logged. Registrations without a sequence, from hosts of earlier builds, are ordered as before.

--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -93,17 +93,39 @@
 	w.Emit(PullFrom{Peer: e.Peer, Version: w.configuration.Version})
 }
 
-// register adds or updates a searcher's entry.
+// register adds or updates a searcher's entry, unless the searcher wrote it before the
+// one that this host holds or held last.
 func (w *World) register(r model.Registration) {
-	id, added := w.entries.Add(r.Searcher.ID)
+	id, held := w.entries.Find(r.Searcher.ID)
 	old := w.entry.Get(id)
-	if !added && old.expiresAt.IsZero() && old.registration == r {
+	last := model.Removal{StartMillis: old.registration.StartMillis, Sequence: old.registration.Sequence}
+	if !held {
+		last = w.lastRemoval(r.Searcher.ID)
+	}
+	if r.WrittenBefore(last.StartMillis, last.Sequence) {
+		w.logInfo("ignored an earlier write of a searcher's entry", "searcher", r.Searcher.ID, "born", r.StartMillis,
+			"sequence", r.Sequence, "held", last.Sequence, "leaving", r.Searcher.Leaving, "revision", r.Revision)
+		return
+	}
+	if held && old.expiresAt.IsZero() && old.registration.WithSequence(r.Sequence) == r {
+		w.entry.Set(id, entry{registration: r}) // a heartbeat; peers need not learn of it
 		return
 	}
+	id, _ = w.entries.Add(r.Searcher.ID)
 	w.setEntry(id, entry{registration: r})
 	w.dirty = true
 }
 
+// lastRemoval returns the latest removal of a searcher.
+func (w *World) lastRemoval(id model.SearcherID) model.Removal {
+	for _, r := range slices.Backward(w.removed) {
+		if r.Searcher == id {
+			return r
+		}
+	}
+	return model.Removal{}
+}
+
 // setEntry replaces an entry and updates the fleet hash.
 func (w *World) setEntry(id table.ID, e entry) {
 	w.fleetHash += e.hash() - w.entry.Get(id).hash()
@@ -113,7 +135,10 @@
 // removeEntry deletes an entry and appends it to the removal log.
 func (w *World) removeEntry(id table.ID, revision uint64) {
 	w.fleetHash -= w.entry.Get(id).hash()
-	w.removed = append(w.removed, model.Removal{Searcher: w.entries.Key(id), Revision: revision})
+	last := w.entry.Get(id).registration
+	w.removed = append(w.removed, model.Removal{
+		Searcher: w.entries.Key(id), Revision: revision, StartMillis: last.StartMillis, Sequence: last.Sequence,
+	})
 	if extra := len(w.removed) - maxRemoved; extra > 0 {
 		w.removedSince = max(w.removedSince, w.removed[extra-1].Revision)
 		w.removed = slices.Clone(w.removed[extra:])
--- a/internal/feed/stale_test.go
+++ b/internal/feed/stale_test.go
@@ -143,3 +143,30 @@
 	h.result(Searchers, FleetRead{Registrations: registrations("c"), AsOf: 12})
 	is.Equal(h.searchers(), map[model.SearcherID]bool{"c": true})
 }
+
+// TestLateWriteKeepsLeavingSearcher guards against an earlier write of a searcher's entry
+// that the store carries out after its report of leaving, or after its removal: the
+// searcher was ready again and got requests.
+func TestLateWriteKeepsLeavingSearcher(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t)
+	h.loadBoth(1, "a", "b")
+	change := func(removed bool, r model.Registration) {
+		h.advance(watchDelay)
+		h.result(Searchers, FleetChanged{Changes: []Change{{Registration: r, Removed: removed}}, AsOf: r.Revision})
+	}
+	change(false, leaving("b", true, 20).WithSequence(8))
+	change(false, leaving("b", false, 21).WithSequence(7))
+	is.True(h.leaves("b"))
+	change(true, leaving("b", true, 22))
+	change(false, leaving("b", false, 23).WithSequence(7))
+	is.True(!h.searchers()["b"])
+	restarted := leaving("b", false, 24).WithSequence(1)
+	restarted.StartMillis = 2
+	change(false, restarted)
+	is.True(h.searchers()["b"] && !h.leaves("b")) // another start counts anew
+	unknown := leaving("b", true, 25)
+	unknown.StartMillis = 2
+	change(false, unknown)
+	is.True(h.leaves("b")) // hosts of earlier builds pass on no sequence
+}
--- a/internal/model/registration.go
+++ b/internal/model/registration.go
@@ -9,6 +9,9 @@
 	// StartMillis is the start time of the searcher in Unix milliseconds. It
 	// differs after a restart under the same ID, which loses all earlier state.
 	StartMillis int64
+	// Sequence counts the writes of the entry since that start; zero if unknown. The
+	// store may carry out an earlier write after a later one.
+	Sequence uint64
 	// WarmUp is the remaining warm-up time at registration, during which the
 	// searcher is slow.
 	WarmUp time.Duration
@@ -32,6 +35,18 @@
 		r.Searcher.Address == o.Searcher.Address && r.Service == o.Service
 }
 
+// WithSequence returns a copy of the registration with the given sequence.
+func (r Registration) WithSequence(n uint64) Registration {
+	r.Sequence = n
+	return r
+}
+
+// WrittenBefore reports whether the searcher wrote the registration before the given
+// write of the same start.
+func (r Registration) WrittenBefore(startMillis int64, sequence uint64) bool {
+	return r.StartMillis != 0 && r.StartMillis == startMillis && r.Sequence != 0 && r.Sequence < sequence
+}
+
 // WithLeaving returns a copy of the registration whose searcher has Leaving set
 // or cleared.
 func (r Registration) WithLeaving(leaving bool) Registration {
@@ -43,6 +58,10 @@
 type Removal struct {
 	Searcher SearcherID
 	Revision uint64
+	// StartMillis and Sequence are those of the last registration that this host held;
+	// they are not shared with other hosts.
+	StartMillis int64
+	Sequence    uint64
 }
 
 // Fleet is an immutable list of registrations at a platform revision.
--- a/internal/wire/catalog.go
+++ b/internal/wire/catalog.go
@@ -46,6 +46,9 @@
 	StartMs  int64  `json:"born"`
 	WarmUpMs int64  `json:"warmUpMs,omitempty"`
 	Revision uint64 `json:"revision"`
+	// Sequence counts the writes of the entry since that time; hosts of earlier builds
+	// leave it out.
+	Sequence uint64 `json:"sequence,omitempty"`
 }
 
 // EncodeCatalog encodes a catalog without lapsed registrations, which are those of
@@ -65,7 +68,7 @@
 		m.Searchers = append(m.Searchers, registrationDocument{
 			ID: string(r.Searcher.ID), Service: string(r.Service), Address: string(r.Searcher.Address),
 			FailureDomain: string(r.Searcher.FailureDomain), Slots: r.Searcher.Slots, Leaving: r.Searcher.Leaving,
-			StartMs: r.StartMillis, WarmUpMs: r.WarmUp.Milliseconds(), Revision: r.Revision,
+			StartMs: r.StartMillis, WarmUpMs: r.WarmUp.Milliseconds(), Revision: r.Revision, Sequence: r.Sequence,
 		})
 	}
 	if c.Since > 0 {
@@ -98,7 +101,7 @@
 				Slots: r.Slots, Leaving: r.Leaving,
 			},
 			Service: model.ServiceName(r.Service), StartMillis: r.StartMs,
-			WarmUp: time.Duration(r.WarmUpMs) * time.Millisecond, Revision: r.Revision,
+			WarmUp: time.Duration(r.WarmUpMs) * time.Millisecond, Revision: r.Revision, Sequence: r.Sequence,
 		})
 	}
 	for _, r := range m.Removed {
