--- /dev/null
+++ b/stand/crowd/process.go
@@ -0,0 +1,56 @@
+package crowd
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+// Process is a program that runs under a limit of descriptors.
+type Process struct {
+	*exec.Cmd
+}
+
+// NewProcess returns a program that may open the given number of descriptors.
+func NewProcess(descriptors int, program string, args ...string) Process {
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors)
+	return Process{exec.Command("sh", append([]string{"-c", script, program}, args...)...)}
+}
+
+// Alive reports whether the process runs and is no zombie.
+func (p Process) Alive() bool {
+	stat, err := os.ReadFile(p.file("stat"))
+	if err != nil {
+		return false
+	}
+	_, state, _ := strings.Cut(string(stat), ") ")
+	return !strings.HasPrefix(state, "Z")
+}
+
+// PeakMemory returns the peak of the resident memory, in bytes.
+func (p Process) PeakMemory() (int, error) {
+	status, err := os.ReadFile(p.file("status"))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	fields := strings.Fields(rest)
+	if len(fields) == 0 {
+		return 0, fmt.Errorf("%s has no VmHWM", p.file("status"))
+	}
+	kilobytes, err := strconv.Atoi(fields[0])
+	return kilobytes << 10, err
+}
+
+// Descriptors returns the number of open descriptors.
+func (p Process) Descriptors() (int, error) {
+	list, err := os.ReadDir(p.file("fd"))
+	return len(list), err
+}
+
+func (p Process) file(name string) string {
+	return filepath.Join("/proc", strconv.Itoa(p.Process.Pid), name)
+}
