conns: write large bodies without a copy for each call

A request with a large body to a route over many shards was encoded anew for each call, and each copy was held until its searcher had read it: 90 calls of a body of 256 KB take 23 MB, so that few callers with whole bodies could use up a host's memory.

A codec now returns the head of a call and the body that all calls share; a body of up to 4 KB is still joined to its head and sent with one system call.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -120,8 +120,9 @@
 
 // Codec encodes calls and decodes replies.
 type Codec struct {
-	// Append appends the encoded call to a buffer.
-	Append func(to []byte, c relay.StartCall) []byte
+	// Encode returns the encoded call: its head, and the body that follows it. The body
+	// may be shared by many calls and must not be changed.
+	Encode func(c relay.StartCall) (head, body []byte)
 	// Read reads one reply to a call, and calls EndHead before it reads a body. It
 	// returns an error if the reply is incomplete or malformed.
 	Read func(r *ReplyReader, c relay.StartCall) (ReadResult, error)
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -18,7 +18,7 @@
 // makes the connection not reusable.
 func testCodec() Codec {
 	return Codec{
-		Append: func(to []byte, c relay.StartCall) []byte { return append(to, string(c.Request)+"\n"...) },
+		Encode: func(c relay.StartCall) (head, body []byte) { return []byte(string(c.Request) + "\n"), nil },
 		Read: func(r *ReplyReader, _ relay.StartCall) (ReadResult, error) {
 			line, err := r.ReadString('\n')
 			if err != nil {
--- a/internal/conns/write.go
+++ b/internal/conns/write.go
@@ -13,6 +13,11 @@
 	"toucanpulley.example/internal/model"
 )
 
+// joinedBodyBytes is the size up to which a body is copied behind the head, to send both
+// with one system call. Copies of larger ones, one for each call of a request, would take
+// many times the memory of the request.
+const joinedBodyBytes = 4 << 10
+
 // rawConn returns the file descriptor of a connection, or nil if it has none.
 func rawConn(c net.Conn) syscall.RawConn {
 	s, ok := c.(syscall.Conn)
@@ -29,12 +34,22 @@
 // write sends a call and never waits for the searcher: the goroutine of the traffic lane
 // calls it. What the socket does not take at once is written in a goroutine of its own.
 func (c *conn) write(a *activeCall) {
-	message := c.pool.codec.Append(nil, a.start)
-	n, err := c.writeAvailable(message)
-	if err == nil && n < len(message) {
+	head, body := c.pool.codec.Encode(a.start)
+	if len(body) <= joinedBodyBytes {
+		head, body = append(head, body...), nil
+	}
+	n, err := c.writeAvailable(head)
+	if err == nil && n == len(head) && len(body) > 0 {
+		var m int
+		m, err = c.writeAvailable(body)
+		n += m
+	}
+	if err == nil && n < len(head)+len(body) {
 		c.pool.tasks.Go(func() {
-			rest, err := c.socket.Write(message[n:])
-			c.writeEnded(a, n+rest, err)
+			unsent := net.Buffers{head[min(n, len(head)):], body[max(n-len(head), 0):]}
+			unsent = slices.DeleteFunc(unsent, func(b []byte) bool { return len(b) == 0 })
+			rest, err := unsent.WriteTo(c.socket)
+			c.writeEnded(a, n+int(rest), err)
 		})
 		return
 	}
--- a/internal/conns/write_test.go
+++ b/internal/conns/write_test.go
@@ -77,8 +77,8 @@
 // paddedCodec is testCodec with requests of the given size.
 func paddedCodec(size int) Codec {
 	c := testCodec()
-	c.Append = func(to []byte, s relay.StartCall) []byte {
-		return append(to, string(s.Request)+strings.Repeat("x", size-len(s.Request)-1)+"\n"...)
+	c.Encode = func(s relay.StartCall) (head, body []byte) {
+		return []byte(s.Request), []byte(strings.Repeat("x", size-len(s.Request)-1) + "\n")
 	}
 	return c
 }
