--- a/internal/conf/relay.go
+++ b/internal/conf/relay.go
@@ -45,6 +45,12 @@
 	RetryShare  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// RequestMemoryMB bounds the memory that the requests of all callers hold together,
+	// Descriptors is the number of descriptors that the process may open, zero for the
+	// limit of the operating system, and BodyTimeout bounds the time for a body.
+	RequestMemoryMB float64
+	Descriptors     int
+	BodyTimeout     time.Duration
 	// ChangeBound is the time within which a change in the platform's store must be in
 	// force on all hosts that reach it.
 	ChangeBound time.Duration
@@ -59,14 +65,18 @@
 	defaultGraceSeconds       = 6
 	maxRetrySlackCalls        = 1_000_000
 	defaultRetryWindowSeconds = 10
-	defaultChangeBoundMs      = 5000
-	minChangeBoundMs          = 100
-	maxChangeBoundMs          = 600_000
-	defaultRetryShare         = 0.2
-	defaultRetrySlackCalls    = 10
-	defaultMemoryMB           = 256
-	defaultLinkMbps           = 1000
-	maxLinkMbps               = 1_000_000
+	defaultBodyTimeoutSeconds = 60
+	maxDescriptors            = 1 << 20
+	// requestMemoryShare is the default of the request memory as a share of the memory.
+	requestMemoryShare     = 0.25
+	defaultChangeBoundMs   = 5000
+	minChangeBoundMs       = 100
+	maxChangeBoundMs       = 600_000
+	defaultRetryShare      = 0.2
+	defaultRetrySlackCalls = 10
+	defaultMemoryMB        = 256
+	defaultLinkMbps        = 1000
+	maxLinkMbps            = 1_000_000
 )
 
 // milliCoresPerMbps is the processing capacity that one Mbit/s of a link can use,
@@ -109,7 +119,10 @@
 		RetryShare:  r.number("retryShare", defaultRetryShare, 1),
 		RetrySlack:  r.number("retrySlack", defaultRetrySlackCalls, maxRetrySlackCalls),
 		RetryWindow: r.seconds("retryWindowSeconds", defaultRetryWindowSeconds),
+		Descriptors: r.integer("descriptors", 0, maxDescriptors),
+		BodyTimeout: r.seconds("bodyTimeoutSeconds", defaultBodyTimeoutSeconds),
 	}
+	s.RequestMemoryMB = r.number("requestMemoryMb", s.MemoryMB*requestMemoryShare, maxMemoryMB)
 	s.ChangeBound = min(r.changeBound("leavingBoundMs"), r.changeBound("configurationBoundMs"))
 	r.checkDistinctAddresses()
 	for _, a := range r.addresses("seeds", maxSeeds) {
--- a/internal/daemon/delegate.go
+++ b/internal/daemon/delegate.go
@@ -8,6 +8,7 @@
 
 	"toucanpulley.example/internal/conns"
 	"toucanpulley.example/internal/ctrl"
+	"toucanpulley.example/internal/intake"
 	"toucanpulley.example/internal/link"
 	"toucanpulley.example/internal/member"
 	"toucanpulley.example/internal/model"
@@ -20,6 +21,10 @@
 // results. The receiver confirms it before it does anything.
 const delegateTimeout = 500 * time.Millisecond
 
+// smallMessageBytes is the size up to which messages of other hosts are not counted. Their
+// number is bounded by the connections of peers.
+const smallMessageBytes = 4 << 10
+
 // delegator exchanges delegated calls and their results with other hosts.
 type delegator struct {
 	self  model.Host
@@ -29,10 +34,12 @@
 	// process identifies this process, so that results of calls of an earlier one are
 	// not taken for those of its own calls.
 	process uint64
+	// callers bounds the memory of requests.
+	callers *intake.Limiter
 }
 
-func newDelegator(self model.Host, codec conns.Codec, peers *peerTransport, lane *relayLane) *delegator {
-	d := &delegator{self: self, codec: codec, peers: peers, lane: lane, process: rand.Uint64()}
+func newDelegator(self model.Host, codec conns.Codec, peers *peerTransport, lane *relayLane, callers *intake.Limiter) *delegator {
+	d := &delegator{self: self, codec: codec, peers: peers, lane: lane, process: rand.Uint64(), callers: callers}
 	peers.server.Delegate, peers.server.Deliver = d.handleDelegate, d.handleDeliver
 	return d
 }
@@ -109,10 +116,26 @@
 		d.peers.log.Warn("cannot decode delegated calls", "peer", m.GetSender(), "request", m.GetRequestId(), "error", err)
 		return nil, err
 	}
+	if !d.hold(len(m.GetMessage()), calls.Timeout) {
+		d.peers.meter.Count("guest", "noMemory")
+		return nil, errors.New("the requests in progress leave no memory for the delegated calls")
+	}
 	d.lane.loop.Send(calls)
 	return &peer.DelegateResponse{}, nil
 }
 
+// hold takes memory for the message of delegated calls until their time has passed.
+func (d *delegator) hold(bytes int, timeout time.Duration) bool {
+	if bytes <= smallMessageBytes {
+		return true
+	}
+	release, ok := d.callers.Hold(bytes)
+	if ok {
+		time.AfterFunc(timeout, release)
+	}
+	return ok
+}
+
 func (d *delegator) handleDeliver(_ context.Context, m *peer.DeliverRequest) (*peer.DeliverResponse, error) {
 	if m.GetProcess() != d.process {
 		d.peers.meter.Count("drop", "formerProcess")
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -14,6 +14,7 @@
 	"toucanpulley.example/internal/ctrl"
 	"toucanpulley.example/internal/fault"
 	"toucanpulley.example/internal/feed"
+	"toucanpulley.example/internal/intake"
 	"toucanpulley.example/internal/meter"
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/peer"
@@ -46,10 +47,12 @@
 	ChangeBound time.Duration
 	// ReplyMemory bounds the bytes of unfinished replies of searchers.
 	ReplyMemory int
-	Source      Source
-	Codec       conns.Codec
-	Log         hclog.Logger
-	Meter       *meter.Meter
+	// Callers bounds the memory of requests.
+	Callers *intake.Limiter
+	Source  Source
+	Codec   conns.Codec
+	Log     hclog.Logger
+	Meter   *meter.Meter
 
 	view        atomic.Pointer[relay.View]
 	control     *tick.Loop[ctrl.Event, ctrl.Command]
@@ -67,7 +70,7 @@
 // NewRelay returns a daemon for a host.
 func NewRelay(self model.Host) *Relay {
 	r := &Relay{
-		Self: self, ChangeBound: feed.DefaultChangeBound, ReplyMemory: conns.DefaultReplyMemory, Log: hclog.NewNullLogger(), Meter: meter.New(), started: make(chan struct{}),
+		Self: self, Callers: intake.NewLimiter(intake.DefaultMaxBytes, intake.DefaultMaxConns), ChangeBound: feed.DefaultChangeBound, ReplyMemory: conns.DefaultReplyMemory, Log: hclog.NewNullLogger(), Meter: meter.New(), started: make(chan struct{}),
 		statusQuery: newStatusQuery[ctrl.Status]("read control status"),
 	}
 	r.view.Store(&relay.View{HostCount: 1})
@@ -122,7 +125,7 @@
 	r.peers.send = r.control.Send
 	r.peers.server.Pull = r.handlePull
 	r.lane.report = r.peers.report
-	r.lane.delegator = newDelegator(r.Self, r.Codec, r.peers, r.lane)
+	r.lane.delegator = newDelegator(r.Self, r.Codec, r.peers, r.lane, r.Callers)
 }
 
 // announce publishes this host's address.
--- a/internal/model/refusal.go
+++ b/internal/model/refusal.go
@@ -42,6 +42,11 @@
 	ReasonPlatformDown     Reason = "platformDown"
 	ReasonOutcomeUnknown   Reason = "outcomeUnknown"
 	ReasonTooLarge         Reason = "tooLarge"
+	// ReasonRequestMemory is used if the request was cut off while it arrived, because all
+	// requests together took too much memory.
+	ReasonRequestMemory Reason = "requestMemory"
+	// ReasonBodyTimeout is used if the body did not arrive in time.
+	ReasonBodyTimeout Reason = "bodyTimeout"
 	// ReasonSearcherFailed is used if all calls of the request were lost,
 	// refused or failed.
 	ReasonSearcherFailed Reason = "searcherFailed"
@@ -101,7 +106,7 @@
 	// MissingVersionGone means that no replica holds the index version.
 	MissingVersionGone MissingReason = "versionGone"
 	// MissingCutOff means that the answer was sent without waiting for the part.
-	MissingCutOff MissingReason = "cutOff"
+	MissingCutOff MissingReason = "requestMemory"
 	// MissingSuspect means that the request may crash searchers, so that no further
 	// call was sent.
 	MissingSuspect MissingReason = "suspect"
