--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -13,6 +13,7 @@
 
 import (
 	"os"
+	"time"
 
 	"toucanpulley.example/internal/fault"
 	"toucanpulley.example/internal/model"
@@ -34,6 +35,10 @@
 	LogLevel string
 	// Lanes is the number of traffic goroutines.
 	Lanes int
+	// RequestMemoryMB bounds the memory that the requests of all callers hold together,
+	// and BodyTimeout the time for a body.
+	RequestMemoryMB int
+	BodyTimeout     time.Duration
 	// TLS is nil for connections without TLS.
 	TLS *TLS
 }
@@ -60,6 +65,8 @@
 	maxLanes     = 64
 	maxSeeds     = 64
 	maxOperators = 64
+	// defaultRequestMemoryMB allows for 100 bodies of the largest size.
+	defaultRequestMemoryMB = 64
 )
 
 // Load reads and validates a settings file.
@@ -87,6 +94,9 @@
 		Platform:      r.url("platform"),
 		LogLevel:      r.enum("logLevel", "info", "trace", "debug", "info", "warn", "error"),
 		Lanes:         r.integer("lanes", defaultLanes, maxLanes),
+
+		RequestMemoryMB: r.integer("requestMemoryMb", defaultRequestMemoryMB, maxMemoryMB),
+		BodyTimeout:     r.seconds("bodyTimeoutSeconds", defaultBodyTimeoutSeconds),
 	}
 	for _, a := range r.addresses("seeds", maxSeeds) {
 		s.Seeds = append(s.Seeds, model.Address(a))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -35,6 +36,7 @@
 	"toucanpulley.example/internal/dial"
 	"toucanpulley.example/internal/drain"
 	"toucanpulley.example/internal/fault"
+	"toucanpulley.example/internal/intake"
 	"toucanpulley.example/internal/meter"
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/query"
@@ -76,6 +78,7 @@
 	changes     *changeRunner
 	claims      *claimRunner
 	server      *http.Server
+	callers     *intake.Limiter
 	drainer     *drainer
 	bootID      uint64
 	lastRequest atomic.Uint64
@@ -153,6 +156,10 @@
 		}
 		d.Meter.Add("bytes", direction, int64(n))
 	}
+	d.callers = intake.NewLimiter(cmp.Or(s.RequestMemoryMB<<20, intake.DefaultMaxBytes), intake.MaxConns(0))
+	d.callers.UnencryptedHTTP2 = true
+	d.callers.BodyTimeout = cmp.Or(s.BodyTimeout, intake.DefaultBodyTimeout)
+	d.callers.OnCutOff = func() { d.Meter.Count("caller", "cutOff") }
 	d.peers = newPeerTransport(s.Host, d.Meter, d.Log)
 	d.configurePeerTLS()
 	for range max(s.Lanes, 1) {
@@ -173,7 +180,8 @@
 	d.watcher = &watcher{store: d.Store, send: d.control.Send, bundle: d.peers.currentBundle, log: d.Log}
 	d.drainer = newDrainer(d.executeDrain)
 	d.server = &http.Server{
-		Handler: d.mux(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: d.callers.Handler(d.mux()), ConnContext: d.callers.ConnContext, ConnState: d.callers.ConnState,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, Protocols: serverProtocols(),
 	}
 }
@@ -192,7 +200,7 @@
 	e.Views, e.Meter, e.Search, e.NewID = d.views, d.Meter, d.search, d.newID
 	e.Send = d.claims.send
 	e.ForwardSearch, e.ForwardSend, e.InFlight = d.forwardSearch, d.forwardSend, d.drainer.inFlight
-	d.peers.server.Forward = forwardHandler(e)
+	d.peers.server.Forward = limitForwarded(d.callers, forwardHandler(e))
 	mux.Handle(e.Handler())
 	a := serve.NewAdmin()
 	a.Views, a.Meter, a.Apply, a.Resolve = d.views, d.Meter, d.changes.apply, d.changes.resolve
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"toucanpulley.example/internal/fault"
+	"toucanpulley.example/internal/intake"
 	"toucanpulley.example/internal/link"
 	"toucanpulley.example/internal/model"
 	"toucanpulley.example/internal/peer"
@@ -66,6 +67,28 @@
 	return fault.Wrap(proto.Unmarshal(r.GetResponse(), answer), "decode forwarded answer", string(address))
 }
 
+// limitForwarded refuses forwarded requests for which the callers' requests leave no
+// memory.
+func limitForwarded(callers *intake.Limiter, next func(context.Context, *peer.ForwardRequest) (*peer.ForwardResponse, error),
+) func(context.Context, *peer.ForwardRequest) (*peer.ForwardResponse, error) {
+	return func(ctx context.Context, m *peer.ForwardRequest) (*peer.ForwardResponse, error) {
+		if len(m.GetRequest()) <= smallMessageBytes {
+			return next(ctx, m)
+		}
+		release, ok := callers.Hold(len(m.GetRequest()))
+		if !ok {
+			refusal := model.NewRefusal(model.ReasonRequestMemory, "the requests in progress leave no memory for %d bytes", len(m.GetRequest()))
+			var refused *connect.Error
+			if err := wire.RefusalError(refusal); !errors.As(err, &refused) {
+				return nil, err
+			}
+			return wire.EncodeForwardedError(refused), nil
+		}
+		defer release()
+		return next(ctx, m)
+	}
+}
+
 // forwardHandler returns the handler of requests that peers forward to this
 // host. The handler never forwards a request again.
 func forwardHandler(e *serve.Entry) func(context.Context, *peer.ForwardRequest) (*peer.ForwardResponse, error) {
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -142,6 +142,7 @@
 
 // serve serves callers on a listener, with TLS if certificates are configured.
 func (d *Daemon) serve(l net.Listener) error {
+	l = d.callers.Listener(l)
 	if d.Certs == nil {
 		return d.server.Serve(l)
 	}
--- a/internal/devel/process_test.go
+++ b/internal/devel/process_test.go
@@ -50,6 +50,8 @@
 	address string
 	peer    string
 	command *exec.Cmd
+	// settingsFile is set by start.
+	settingsFile string
 }
 
 // startProcesses starts one entry host for each domain as a separate process.
@@ -95,6 +97,7 @@
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	p.settingsFile = path
 	p.command = exec.Command(os.Args[0])
 	p.command.Env = append(os.Environ(), settingsFileVariable+"="+path)
 	p.command.Stderr = os.Stderr
