intake: count unread answers, keep connections that carry requests

Found on related paths of the crowd: a caller that does not read its answer held it in memory without a bound, and a connection of HTTP/2 was cut off as the oldest holder while it carried requests that had arrived in full.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -109,6 +109,8 @@
 	// the read deadline.
 	mu      sync.Mutex
 	cutDone bool
+	// writing is set during a write that can be cut off.
+	writing bool
 	closing sync.Once
 }
 
@@ -130,12 +132,29 @@
 	return n, err
 }
 
-// Write implements net.Conn. It fails if the caller does not take the bytes in time.
+// Write implements net.Conn. It fails if the caller does not take the bytes in time. A
+// large write counts as long as it lasts, and can be cut off.
 func (c *Conn) Write(from []byte) (int, error) {
 	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.limiter.WriteTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(from)
+	if len(from) <= smallWriteBytes {
+		return c.Conn.Write(from)
+	}
+	c.setWriting(true)
+	defer c.setWriting(false)
+	if !c.limiter.beginWrite(c, len(from)) {
+		return 0, ErrCutOff
+	}
+	n, err := c.Conn.Write(from)
+	c.limiter.grow(c, -len(from))
+	return n, err
+}
+
+func (c *Conn) setWriting(writing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = writing
 }
 
 // SetDeadline implements net.Conn.
@@ -167,12 +186,16 @@
 	return err
 }
 
-// cutOff ends a read in progress and all later ones. Answers can still be written.
+// cutOff ends a read or a large write in progress and all later reads. Small answers can
+// still be written.
 func (c *Conn) cutOff() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cutDone = true
 	_ = c.Conn.SetReadDeadline(past) // fails on a closed connection only
+	if c.writing {
+		_ = c.Conn.SetWriteDeadline(past)
+	}
 }
 
 func (c *Conn) wasCutOff() bool {
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -29,19 +29,27 @@
 	return counted
 }
 
-// ConnState counts the memory of a connection anew once its request has ended.
+// ConnState counts the memory of a connection anew once its request has ended. A
+// connection of HTTP/2 is not cut off while it carries requests, since some of them may
+// have arrived in full.
 func (l *Limiter) ConnState(c net.Conn, state http.ConnState) {
 	counted := connOf(c)
-	if counted == nil || state != http.StateIdle {
+	if counted == nil || state != http.StateIdle && state != http.StateActive {
 		return
 	}
 	if t, ok := c.(*tls.Conn); ok && t.ConnectionState().NegotiatedProtocol == "h2" {
 		counted.factor.Store(0)
 	}
-	if counted.factor.Load() > 0 {
-		counted.factor.Store(headFactor)
+	multiplexed := counted.factor.Load() == 0
+	switch {
+	case state == http.StateIdle:
+		if !multiplexed {
+			counted.factor.Store(headFactor)
+		}
+		l.restart(counted, connBytes)
+	case multiplexed:
+		l.pin(counted)
 	}
-	l.restart(counted, connBytes)
 }
 
 // Handler counts the bodies of requests. The next handler gets ErrCutOff from a body
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -42,6 +42,9 @@
 	// copied.
 	headFactor = 8
 	bodyFactor = 2
+	// smallWriteBytes is the size up to which a write is not counted; sockets take most of
+	// them at once.
+	smallWriteBytes = 32 << 10
 	// smallBytes is the memory of a request up to which the part that is reserved for
 	// small ones is open to it: a usual head and a short body.
 	smallBytes = connBytes + 4<<10*headFactor
@@ -136,6 +139,14 @@
 	l.cut(l.holdings.Grow(h, 0, time.Now()))
 }
 
+// beginWrite counts the bytes of an answer, which can be cut off from now on.
+func (l *Limiter) beginWrite(c *Conn, bytes int) bool {
+	l.mu.Lock()
+	l.holdings.Unpin(c, time.Now())
+	l.mu.Unlock()
+	return l.grow(c, bytes)
+}
+
 func (l *Limiter) pin(h holder) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/policy/holdings.go
+++ b/internal/policy/holdings.go
@@ -128,6 +128,13 @@
 	return ok
 }
 
+// Unpin allows a holder to be revoked again and counts its time anew.
+func (h *Holdings[K]) Unpin(key K, now time.Time) {
+	if id, ok := h.holders.Find(key); ok {
+		h.holder.Set(id, holder{amount: h.holder.Get(id).amount, since: now})
+	}
+}
+
 // Restart sets the amount of a holder and counts its time anew; it is no longer pinned.
 func (h *Holdings[K]) Restart(key K, amount int, now time.Time) {
 	if id, ok := h.holders.Find(key); ok {
