--- a/stand/crowd/crowd.go
+++ b/stand/crowd/crowd.go
@@ -35,12 +35,14 @@
 	Head string
 	// Connections is the number of connections, each with one request.
 	Connections int
-	// BodyBytes is the size of each body, of which the last byte is never sent.
+	// BodyBytes is the size of each body, of which the last byte is not sent.
 	BodyBytes int
 	// PieceBytes is the size of a write; zero sends a body with one write.
 	PieceBytes int
 	// ChunkBytes is the size of a chunk; zero sends the body with its length.
 	ChunkBytes int
+	// Whole is set to send bodies with their ends. Their answers are never read.
+	Whole bool
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -76,6 +78,9 @@
 	if c.ChunkBytes == 0 {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", c.BodyBytes)
 		b.WriteString(strings.Repeat("a", c.BodyBytes-1))
+		if c.Whole {
+			b.WriteByte('a')
+		}
 		return b.String()
 	}
 	b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
