--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -135,7 +135,7 @@
 // Write implements net.Conn. It fails if the caller does not take the bytes in time. A
 // large write counts as long as it lasts, and can be cut off.
 func (c *Conn) Write(from []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.limiter.WriteTimeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.limiter.WriteTimeout)); err != nil {
 		return 0, err
 	}
 	if len(from) <= smallWriteBytes {
@@ -194,7 +194,7 @@
 	c.cutDone = true
 	_ = c.Conn.SetReadDeadline(past) // fails on a closed connection only
 	if c.writing {
-		_ = c.Conn.SetWriteDeadline(past)
+		_ = c.SetWriteDeadline(past)
 	}
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -24,9 +24,9 @@
 )
 
 const (
-	// DefaultMaxBytes and DefaultMaxConns are the limits of a server whose machine is not
-	// described.
+	// DefaultMaxBytes is the memory of requests on a machine that is not described.
 	DefaultMaxBytes = 64 << 20
+	// DefaultMaxConns is the number of connections without a known limit of descriptors.
 	DefaultMaxConns = 4096
 	// DefaultBodyTimeout bounds the time for a body. The time budgets of requests are
 	// far shorter.
--- a/stand/crowd/process.go
+++ b/stand/crowd/process.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
@@ -14,10 +15,11 @@
 	*exec.Cmd
 }
 
-// NewProcess returns a program that may open the given number of descriptors.
-func NewProcess(descriptors int, program string, args ...string) Process {
+// NewProcess returns a program that may open the given number of descriptors, and that is
+// killed when the context ends.
+func NewProcess(ctx context.Context, descriptors int, program string, args ...string) Process {
 	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors)
-	return Process{exec.Command("sh", append([]string{"-c", script, program}, args...)...)}
+	return Process{exec.CommandContext(ctx, "sh", append([]string{"-c", script, program}, args...)...)}
 }
 
 // Alive reports whether the process runs and is no zombie.
