feed: keep the known sequence of an entry that an earlier build passes on

Hosts of earlier builds send no sequence. While both builds run, an unchanged entry from one of them took the sequence away that orders the searcher's writes, so that a late write counted again. TestLateWriteKeepsLeavingSearcher has the case.

--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -108,7 +108,8 @@
 		return
 	}
 	if held && old.expiresAt.IsZero() && old.registration.WithSequence(r.Sequence) == r {
-		w.entry.Set(id, entry{registration: r}) // a heartbeat; peers need not learn of it
+		// A heartbeat, of which peers need not learn. Hosts of earlier builds send no sequence.
+		w.entry.Set(id, entry{registration: r.WithSequence(max(r.Sequence, old.registration.Sequence))})
 		return
 	}
 	id, _ = w.entries.Add(r.Searcher.ID)
--- a/internal/feed/stale_test.go
+++ b/internal/feed/stale_test.go
@@ -156,6 +156,7 @@
 		h.result(Searchers, FleetChanged{Changes: []Change{{Registration: r, Removed: removed}}, AsOf: r.Revision})
 	}
 	change(false, leaving("b", true, 20).WithSequence(8))
+	change(false, leaving("b", true, 20)) // from a host of an earlier build
 	change(false, leaving("b", false, 21).WithSequence(7))
 	is.True(h.leaves("b"))
 	change(true, leaving("b", true, 22))
