intake: refuse a request whose connection is cut off before its handler

The handler would have taken the cut for a caller that has left, and could have passed the request on before it ended without an answer. Found by reading; the request is now answered 503 before anything is done. TestCutOffRequestIsRefused failed before.

--- a/internal/devel/crowd_test.go
+++ b/internal/devel/crowd_test.go
@@ -61,18 +61,11 @@
 			if err != nil {
 				t.Errorf("no request was answered: %v", err)
 			}
-			if !p.Alive() {
-				t.Fatal("the process has ended")
-			}
-			memory, err := p.PeakMemory()
-			if err != nil || memory >= crowdMemoryMB<<20 {
-				t.Errorf("the process had %d MB of memory, allowed are %d: %v", memory>>20, crowdMemoryMB, err)
-			}
-			descriptors, err := p.Descriptors()
-			if err != nil || descriptors >= crowdDescriptors {
-				t.Errorf("the process has %d descriptors open, allowed are %d: %v", descriptors, crowdDescriptors, err)
+			measured, err := p.Check(crowdMemoryMB<<20, crowdDescriptors)
+			if err != nil {
+				t.Error(err)
 			}
-			t.Logf("%d MB of memory, %d descriptors", memory>>20, descriptors)
+			t.Log(measured)
 		})
 	}
 }
--- a/internal/feed/stale_test.go
+++ b/internal/feed/stale_test.go
@@ -38,6 +38,17 @@
 	return n
 }
 
+// newFollowerInOutage returns a watching host and a follower whose last call has failed.
+func newFollowerInOutage(t *testing.T) (watching, follower *host) {
+	w := newHost(t)
+	w.FailureDomain = "d"
+	w.loadBoth(1, "a", "b")
+	f := newFollower(t, w)
+	f.advance(f.maxAge())
+	f.result(Searchers, Failed{StartedAt: f.now, Cause: "status 503"})
+	return w, f
+}
+
 // TestSilentWatchIsNotCurrent guards against hosts that trust a watch whose path to the
 // store has fallen silent: the watching host told its peers that its data was current
 // until the watch timed out, and they sent requests to searchers that had left.
@@ -62,12 +73,7 @@
 // failed. A host that relies on its peers makes no further call that could succeed.
 func TestPeerRemovalIsNotHeldBack(t *testing.T) {
 	is := is.New(t)
-	w := newHost(t)
-	w.FailureDomain = "d"
-	w.loadBoth(1, "a", "b")
-	f := newFollower(t, w)
-	f.advance(f.maxAge())
-	f.result(Searchers, Failed{StartedAt: f.now, Cause: "status 503"})
+	_, f := newFollowerInOutage(t)
 	is.True(f.StoreUnavailable())
 	f.advance(time.Second)
 	f.tick(Pulled{Peer: model.Host{ID: "w"}, Catalog: Catalog{Since: 10, Fleet: model.Fleet{
@@ -80,12 +86,7 @@
 // long as its peers keep it current, and holds back removals all that time.
 func TestPeersEndAnOutage(t *testing.T) {
 	is := is.New(t)
-	w := newHost(t)
-	w.FailureDomain = "d"
-	w.loadBoth(1, "a", "b")
-	f := newFollower(t, w)
-	f.advance(f.maxAge())
-	f.result(Searchers, Failed{StartedAt: f.now, Cause: "status 503"})
+	w, f := newFollowerInOutage(t)
 	w.advance(f.now.Sub(w.now) + time.Second)
 	w.result(Configuration, ConfigurationRead{AsOf: 11})
 	w.result(Searchers, FleetChanged{AsOf: 11})
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -59,8 +59,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*Conn)
 		if r.Body == nil || r.Body == http.NoBody {
-			if c != nil && r.ProtoMajor == 1 {
-				l.pin(c)
+			if c != nil && r.ProtoMajor == 1 && !l.pin(c) {
+				refuse(w)
+				return
 			}
 			next.ServeHTTP(w, r)
 			return
@@ -80,6 +81,15 @@
 	})
 }
 
+// refuse answers a request whose connection was cut off before the handler began. The
+// handler would take the cut for a caller that has left, when it may have passed the
+// request on.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, ErrCutOff.Error(), http.StatusServiceUnavailable)
+}
+
 // body counts the bytes of a body, or tells its connection when it has ended.
 type body struct {
 	io.ReadCloser
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -272,6 +273,27 @@
 	is.NoErr(<-answered)
 }
 
+// TestCutOffRequestIsRefused guards against a request whose connection is cut off between
+// its head and its handler, and that is passed on although its answer cannot be waited for.
+func TestCutOffRequestIsRefused(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter(1<<20, 1000)
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	c := &Conn{Conn: near, limiter: l}
+	l.admit(c)
+	defer func() { _ = c.Close() }()
+	h := l.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request is passed on") }))
+	for range 1000 {
+		_, _ = l.Hold(1 << 10) // the connection gives way to these
+	}
+	r := httptest.NewRequestWithContext(l.ConnContext(t.Context(), c), http.MethodGet, "/", nil)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Header().Get("Connection"), "close")
+}
+
 // TestMessagesOfHosts guards against messages of other hosts that hold memory without
 // bound.
 func TestMessagesOfHosts(t *testing.T) {
--- a/stand/crowd/process.go
+++ b/stand/crowd/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -53,6 +54,27 @@
 	return len(list), err
 }
 
+// Check checks that the process runs and stays below the given bytes of memory and number
+// of descriptors. It returns what it has measured.
+func (p Process) Check(maxMemory, maxDescriptors int) (string, error) {
+	if !p.Alive() {
+		return "", errors.New("the process has ended")
+	}
+	memory, err := p.PeakMemory()
+	if err != nil {
+		return "", err
+	}
+	descriptors, err := p.Descriptors()
+	if err != nil {
+		return "", err
+	}
+	measured := fmt.Sprintf("%d MB of memory, %d descriptors", memory>>20, descriptors)
+	if memory >= maxMemory || descriptors >= maxDescriptors {
+		return measured, fmt.Errorf("the process had %s; allowed are %d MB and %d", measured, maxMemory>>20, maxDescriptors)
+	}
+	return measured, nil
+}
+
 func (p Process) file(name string) string {
 	return filepath.Join("/proc", strconv.Itoa(p.Process.Pid), name)
 }
