--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -108,7 +108,8 @@
 	return func() { l.remove(m) }, true
 }
 
-// message is a message of another host, which is held in full when it is added.
+// message is a message of another host, which is held in full when it is added. Its field
+// gives each message an address of its own.
 type message struct{ _ byte }
 
 func (*message) cutOff() {}
